--- a/cmd/wirehost/main.go
+++ b/cmd/adapter/main.go
@@ -1,4 +1,4 @@
-// Wirehost runs gateways on the simulator's wire: events come in on standard
+// Adapter runs gateways on the simulator's wire: events come in on standard
 // input, actions go out on standard output.
 package main
 
@@ -9,13 +9,13 @@
 	"io"
 	"os"
 
-	"lapishinge/control"
-	"lapishinge/internal/wire"
+	"dewhill/control"
+	"dewhill/internal/wire"
 )
 
 func main() {
 	if err := serve(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "wirehost:", err)
+		fmt.Fprintln(os.Stderr, "adapter:", err)
 		os.Exit(1)
 	}
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -7,7 +7,7 @@
 	"slices"
 	"strconv"
 
-	"lapishinge/control"
+	"dewhill/control"
 )
 
 // env holds the settings as the wire names them. Keys that are not here are
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -8,7 +8,7 @@
 	"fmt"
 	"strconv"
 
-	"lapishinge/control"
+	"dewhill/control"
 )
 
 // Kind is the kind of a line that came in.
