--- /dev/null
+++ b/internal/board/board.go
@@ -0,0 +1,189 @@
+// Package board follows the notice board, which tells of the engines.
+package board
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"dewhill/internal/lines"
+)
+
+// Notices are what the notice board tells: numbered events.
+type Notices struct {
+	Rev     int64    `json:"rev"`
+	Notices []Notice `json:"notices"`
+}
+
+// Notice is one event. Only those with a pool matter here.
+type Notice struct {
+	Rev  int64 `json:"rev"`
+	Pool *Pool `json:"pool"`
+}
+
+// Pool holds the whole list of engines, or what has changed in it.
+type Pool struct {
+	Whole bool   `json:"whole"`
+	Hosts []Host `json:"hosts"`
+}
+
+// Host is an engine.
+type Host struct {
+	ID     string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMs float64 `json:"born_ms"`
+}
+
+// Check reports what is wrong with notices, so that nothing of them is used.
+func (n *Notices) Check() error {
+	last := int64(0)
+	for _, e := range n.Notices {
+		if e.Rev <= last || e.Rev > n.Rev {
+			return fmt.Errorf("notice %d after %d of %d", e.Rev, last, n.Rev)
+		}
+		last = e.Rev
+		if e.Pool == nil {
+			continue
+		}
+		for _, h := range e.Pool.Hosts {
+			if h.ID == "" {
+				return errors.New("an engine without a name")
+			}
+			switch h.Health {
+			case "active", "leaving":
+				if _, _, err := net.SplitHostPort(h.Dial); err != nil {
+					return fmt.Errorf("engine %q: address %q", h.ID, h.Dial)
+				}
+			case "left":
+			default:
+				return fmt.Errorf("engine %q: state %q", h.ID, h.Health)
+			}
+		}
+	}
+	return nil
+}
+
+const (
+	lingerMs   = 5000
+	slack      = 1500 * time.Millisecond // past the linger after which a board is silent
+	dialIn     = 500 * time.Millisecond
+	mostAnswer = 4 << 20
+	retryFirst = 50 * time.Millisecond
+	retryMost  = time.Second
+)
+
+// Follow polls the notice board for what comes after rev, for ever, and hands
+// over what it tells, in order. Garbage or silence drops the connection: the
+// same events are asked for again on a new one.
+func Follow(addr string, rev int64, tell func(*Notices), trouble func(error)) {
+	wait := retryFirst
+	for {
+		told, err := follow(addr, &rev, tell)
+		trouble(err)
+		if told {
+			wait = retryFirst
+		}
+		time.Sleep(wait)
+		wait = min(2*wait, retryMost)
+	}
+}
+
+func follow(addr string, rev *int64, tell func(*Notices)) (told bool, err error) {
+	nc, err := net.DialTimeout("tcp", addr, dialIn)
+	if err != nil {
+		return false, err
+	}
+	defer nc.Close()
+	b := lines.New(nc, 16<<10)
+	for {
+		n, err := poll(nc, b, addr, *rev)
+		if err != nil {
+			return told, err
+		}
+		if told = true; n.Rev > *rev {
+			*rev = n.Rev
+			tell(n)
+		}
+	}
+}
+
+func poll(nc net.Conn, b *lines.Buffer, addr string, rev int64) (*Notices, error) {
+	nc.SetDeadline(time.Now().Add(lingerMs*time.Millisecond + slack))
+	err := lines.Write(nc, func(w *textproto.Writer) {
+		w.PrintfLine("GET /board/poll?watch=%d&linger=%d HTTP/1.1", rev, lingerMs)
+		w.PrintfLine("Host: %s", addr)
+		w.PrintfLine("")
+	})
+	if err != nil {
+		return nil, err
+	}
+	body, err := readAnswer(b)
+	if err != nil {
+		return nil, err
+	}
+	var n Notices
+	if err := json.Unmarshal(body, &n); err != nil {
+		return nil, err
+	}
+	return &n, n.Check()
+}
+
+// readAnswer reads an HTTP answer with a body of stated length or in chunks.
+func readAnswer(b *lines.Buffer) ([]byte, error) {
+	first, fields, err := b.Head()
+	if err != nil {
+		return nil, err
+	}
+	parts := strings.SplitN(first, " ", 3)
+	if len(parts) < 2 || !strings.HasPrefix(parts[0], "HTTP/1.") {
+		return nil, fmt.Errorf("not HTTP: %.40q", first)
+	}
+	if parts[1] != "200" {
+		return nil, fmt.Errorf("answer %.40q", first)
+	}
+	if strings.EqualFold(fields.Get("Transfer-Encoding"), "chunked") {
+		return readChunks(b)
+	}
+	n, err := strconv.ParseUint(fields.Get("Content-Length"), 10, 31)
+	if err != nil || n > mostAnswer {
+		return nil, fmt.Errorf("length %.20q", fields.Get("Content-Length"))
+	}
+	return b.Take(int(n))
+}
+
+func readChunks(b *lines.Buffer) (body []byte, err error) {
+	for {
+		line, err := b.Line()
+		if err != nil {
+			return nil, err
+		}
+		size, _, _ := strings.Cut(line, ";")
+		n, err := strconv.ParseUint(strings.TrimSpace(size), 16, 31)
+		if err != nil || len(body)+int(n) > mostAnswer {
+			return nil, fmt.Errorf("chunk of %.20q", line)
+		}
+		if n == 0 {
+			for line != "" {
+				if line, err = b.Line(); err != nil {
+					return nil, err
+				}
+			}
+			return body, nil
+		}
+		data, err := b.Take(int(n) + 2)
+		if err != nil {
+			return nil, err
+		}
+		body = append(body, data[:n]...)
+	}
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,451 @@
+// Package core is the reducer between the decisions and the world. It deals
+// in requests, attempts and outcomes; it knows no wire, socket or clock. Every
+// change of state is an Event given to Apply, and what is to be read or
+// written comes back as Effects, in order.
+package core
+
+import (
+	"container/heap"
+	"math"
+
+	"dewhill/control"
+)
+
+// Request is what a front has taken in.
+type Request struct {
+	ID       string
+	Class    int
+	Key      string
+	GiveUpAt float64 // when its client stops waiting
+	Work     float64 // estimate, 0: none
+	MemoryMB float64
+	Dataset  int
+}
+
+// Event is something that happened.
+type Event interface{ event() }
+
+// The events.
+type (
+	// Arrived tells of a new request.
+	Arrived struct{ Request }
+	// AttemptEnded tells how an attempt ended. Served means that all rows are
+	// at hand, so a pure request whose rows were cut short can still be retried.
+	AttemptEnded struct {
+		ID             string
+		Attempt        int
+		Result         control.Result
+		Work, MemoryMB float64
+		Report         *control.Report
+	}
+	// Abandoned tells that the client has stopped waiting.
+	Abandoned struct{ ID string }
+	// EngineList tells of the engines: all of them, or those that changed.
+	EngineList struct {
+		Whole   bool
+		Engines []control.EngineInfo
+	}
+	// Probed tells how a probe ended.
+	Probed struct {
+		Engine  string
+		Result  control.Result
+		Elapsed float64
+		Report  *control.Report
+	}
+	// Heard tells what a peer said.
+	Heard struct {
+		Peer    int
+		Message []byte
+	}
+	// Woke tells that the time asked for by Next has come.
+	Woke struct{}
+)
+
+func (Arrived) event()      {}
+func (AttemptEnded) event() {}
+func (Abandoned) event()    {}
+func (EngineList) event()   {}
+func (Probed) event()       {}
+func (Heard) event()        {}
+func (Woke) event()         {}
+
+// Effect is something to do.
+type Effect interface{ effect() }
+
+// Outcome is a request's final answer.
+type Outcome int
+
+// The outcomes.
+const (
+	Served  Outcome = iota
+	Refused         // no attempt ran: trying again is harmless
+	Failed
+)
+
+func (o Outcome) String() string { return [...]string{"served", "refused", "failed"}[o] }
+
+// The effects.
+type (
+	// Start asks for an attempt.
+	Start struct {
+		ID, Engine string
+		Attempt    int
+		Until      float64 // when the attempt is given up
+		Priority   int
+	}
+	// Stop gives an attempt up. An AttemptEnded is still owed for it.
+	Stop struct {
+		ID, Engine string
+		Attempt    int
+	}
+	// Rank gives an attempt that is out a new priority.
+	Rank struct {
+		ID, Engine string
+		Attempt    int
+		Priority   int
+	}
+	// Answer is the final answer to a request, given once.
+	Answer struct {
+		ID      string
+		Outcome Outcome
+		Attempt int     // that served
+		Wait    float64 // Refused: how long the client is to stay away, in ms
+		Late    bool    // Failed: the deadline had come
+		MayRun  bool    // Failed: an attempt may have run
+	}
+	// Probe asks an engine for its load.
+	Probe struct{ Engine string }
+	// Tell sends a message to all peers.
+	Tell struct{ Message []byte }
+	// List asks for the list of engines.
+	List struct{}
+	// Log is a line for the log.
+	Log struct{ Text string }
+)
+
+func (Start) effect()  {}
+func (Stop) effect()   {}
+func (Rank) effect()   {}
+func (Answer) effect() {}
+func (Probe) effect()  {}
+func (Tell) effect()   {}
+func (List) effect()   {}
+func (Log) effect()    {}
+
+// usualPriority is an engine's priority where none was asked for.
+const usualPriority = 1
+
+// endsSoon is how long before a client's deadline a request counts as out of
+// time when it is failed: the decisions look every 25 ms, and a tick earlier.
+const endsSoon = 60
+
+type attempt struct {
+	engine string
+	at     float64
+	until  float64
+	out    bool
+	never  bool // proved never to have run
+	late   bool // given up for its time
+	stop   bool // given up
+}
+
+type request struct {
+	Request
+	tries    []attempt
+	priority int
+	over     bool
+}
+
+// timer is one of: a timer of the decisions, an attempt's end, a request's end.
+type timer struct {
+	at      float64
+	seq     int
+	label   string // of the decisions
+	id      string
+	attempt int // -1: the request's own
+}
+
+type timers []timer
+
+func (t timers) Len() int { return len(t) }
+func (t timers) Less(i, j int) bool {
+	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].seq < t[j].seq
+}
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)   { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() (x any) {
+	old := *t
+	x = old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*t = old[:len(old)-1]
+	return x
+}
+
+// Core holds the requests that owe an answer or an outcome.
+type Core struct {
+	s       control.Settings
+	decide  *control.Gateway
+	reqs    map[string]*request
+	timers  timers
+	seq     int
+	open    int // requests that owe an answer
+	now     float64
+	effects []Effect
+	queue   []control.Event // to tell the decisions, in order
+	busy    bool
+}
+
+// New returns a core with its decisions.
+func New(s control.Settings, seed uint64) *Core {
+	return &Core{s: s, decide: control.New(s, seed), reqs: map[string]*request{}}
+}
+
+// Open is how many requests owe an answer.
+func (c *Core) Open() int { return c.open }
+
+// Next is when Woke is next due; infinite if never.
+func (c *Core) Next() float64 {
+	if len(c.timers) == 0 {
+		return math.Inf(1)
+	}
+	return c.timers[0].at
+}
+
+// Apply takes an event and returns what to do, in order. The effects are good
+// until the next call.
+func (c *Core) Apply(now float64, ev Event) []Effect {
+	c.now, c.effects = max(now, c.now), c.effects[:0]
+	switch ev := ev.(type) {
+	case Arrived:
+		c.arrive(ev.Request)
+	case AttemptEnded:
+		c.ended(ev)
+	case Abandoned:
+		if r := c.reqs[ev.ID]; r != nil && !r.over {
+			c.close(r)
+			c.tell(control.Event{Kind: control.Abandoned, Req: r.ID})
+		}
+	case EngineList:
+		kind := control.ListChange
+		if ev.Whole {
+			kind = control.ListWhole
+		}
+		c.tell(control.Event{Kind: kind, Engines: ev.Engines})
+	case Probed:
+		c.tell(control.Event{Kind: control.Probed, Engine: ev.Engine, Result: ev.Result, Elapsed: ev.Elapsed,
+			Report: ev.Report})
+	case Heard:
+		c.tell(control.Event{Kind: control.Heard, Peer: ev.Peer, Message: ev.Message})
+	case Woke:
+		c.wake()
+	}
+	return c.effects
+}
+
+func (c *Core) do(e Effect) { c.effects = append(c.effects, e) }
+
+func (c *Core) after(at float64, t timer) {
+	c.seq++
+	t.at, t.seq = at, c.seq
+	heap.Push(&c.timers, t)
+}
+
+// tell hands an event to the decisions and carries out what they ask for.
+// What that leads to is told after it, never in the middle.
+func (c *Core) tell(ev control.Event) {
+	c.queue = append(c.queue, ev)
+	if c.busy {
+		return
+	}
+	c.busy = true
+	for len(c.queue) > 0 {
+		ev := c.queue[0]
+		c.queue = c.queue[1:]
+		for _, a := range c.decide.Handle(c.now, ev) {
+			c.act(&a)
+		}
+	}
+	c.queue, c.busy = nil, false
+}
+
+func (c *Core) arrive(req Request) {
+	if c.reqs[req.ID] != nil || req.Class < 0 || req.Class >= len(c.s.Classes) {
+		return // the fronts check both
+	}
+	r := &request{Request: req, priority: usualPriority}
+	c.reqs[r.ID] = r
+	c.open++
+	c.after(r.GiveUpAt, timer{id: r.ID, attempt: -1})
+	c.tell(control.Event{Kind: control.Arrived, Req: r.ID, Class: r.Class, Key: r.Key, GiveUpAt: r.GiveUpAt,
+		Work: r.Work, MemoryMB: r.MemoryMB, Dataset: r.Dataset})
+}
+
+func (c *Core) act(a *control.Action) {
+	r := c.reqs[a.Req]
+	switch a.Kind {
+	case control.Send:
+		c.send(r, a)
+	case control.Refuse:
+		if r != nil && !r.over {
+			c.finish(r, true, a.Wait)
+		}
+	case control.Fail:
+		if r != nil && !r.over {
+			c.finish(r, false, 0)
+		}
+	case control.Cancel:
+		if r != nil && a.Attempt >= 0 && a.Attempt < len(r.tries) {
+			c.stop(r, a.Attempt)
+		}
+	case control.Terms:
+		if r == nil {
+			return
+		}
+		r.priority = a.Priority
+		for i := range r.tries {
+			if r.tries[i].out && !r.tries[i].stop {
+				c.do(Rank{ID: r.ID, Attempt: i, Engine: r.tries[i].engine, Priority: a.Priority})
+			}
+		}
+	case control.Probe:
+		c.do(Probe{a.Engine})
+	case control.Tell:
+		c.do(Tell{a.Message})
+	case control.Timer:
+		c.after(c.now+a.Wait, timer{label: a.Timer})
+	case control.Watch:
+		c.do(List{})
+	case control.Log:
+		c.do(Log{a.Text})
+	}
+}
+
+// send starts an attempt. It guards the rules that must hold whatever the
+// decisions say: nothing for a request that is over or out of time, one
+// attempt out at a time, and no second run of what must not run twice.
+func (c *Core) send(r *request, a *control.Action) {
+	if r == nil {
+		return
+	}
+	k := len(r.tries)
+	until := r.GiveUpAt
+	if a.Until > 0 {
+		until = min(until, a.Until)
+	}
+	r.tries = append(r.tries, attempt{engine: a.Engine, at: c.now, until: until, out: true, never: true})
+	if r.over || until <= c.now || (!c.s.MayCopy && r.out(k)) ||
+		(c.s.Classes[r.Class].Effect == control.Unsafe && r.mayRun(k)) {
+		c.end(r, k, AttemptEnded{ID: r.ID, Attempt: k, Result: control.Moot})
+		return
+	}
+	r.tries[k].never = false
+	if until < r.GiveUpAt {
+		c.after(until, timer{id: r.ID, attempt: k})
+	}
+	c.do(Start{ID: r.ID, Engine: a.Engine, Attempt: k, Until: until, Priority: r.priority})
+}
+
+// out reports whether an attempt before the k-th has no outcome yet.
+func (r *request) out(k int) bool {
+	for i := range r.tries[:k] {
+		if r.tries[i].out {
+			return true
+		}
+	}
+	return false
+}
+
+// mayRun reports whether one of the first k attempts may have run.
+func (r *request) mayRun(k int) bool {
+	for i := range r.tries[:k] {
+		if !r.tries[i].never {
+			return true
+		}
+	}
+	return false
+}
+
+// finish gives the final answer that the decisions asked for. A refusal tells
+// the client that trying again is harmless, so it stands only where every
+// attempt provably never ran; else the answer is a failure.
+func (c *Core) finish(r *request, refuse bool, wait float64) {
+	may := r.mayRun(len(r.tries))
+	ans := Answer{ID: r.ID, Outcome: Failed, MayRun: may, Late: c.now > r.GiveUpAt-endsSoon}
+	if refuse && !may {
+		ans.Outcome, ans.Wait = Refused, wait
+	}
+	c.do(ans)
+	c.close(r)
+}
+
+// close ends a request. What it has out is given up: nobody waits for it.
+func (c *Core) close(r *request) {
+	r.over = true
+	c.open--
+	for i := range r.tries {
+		c.stop(r, i)
+	}
+	c.forget(r)
+}
+
+func (c *Core) stop(r *request, i int) {
+	if a := &r.tries[i]; a.out && !a.stop {
+		a.stop = true
+		c.do(Stop{ID: r.ID, Attempt: i, Engine: a.engine})
+	}
+}
+
+func (c *Core) forget(r *request) {
+	if r.over && !r.out(len(r.tries)) {
+		delete(c.reqs, r.ID)
+	}
+}
+
+func (c *Core) ended(ev AttemptEnded) {
+	r := c.reqs[ev.ID]
+	if r == nil || ev.Attempt < 0 || ev.Attempt >= len(r.tries) || !r.tries[ev.Attempt].out {
+		return
+	}
+	if ev.Result == control.Cancelled && r.tries[ev.Attempt].late {
+		ev.Result = control.TimedOut
+	}
+	c.end(r, ev.Attempt, ev)
+}
+
+func (c *Core) end(r *request, k int, ev AttemptEnded) {
+	a := &r.tries[k]
+	a.out = false
+	a.never = ev.Result == control.TurnedAway || ev.Result == control.ConnectFailed || ev.Result == control.Moot
+	if ev.Result == control.Served && !r.over {
+		c.do(Answer{ID: r.ID, Outcome: Served, Attempt: k})
+		r.over = true
+		c.open--
+	}
+	c.forget(r)
+	c.tell(control.Event{Kind: control.Ended, Req: r.ID, Attempt: k, Engine: a.engine, Result: ev.Result,
+		Elapsed: c.now - a.at, Done: r.over, Work: ev.Work, MemoryMB: ev.MemoryMB, Report: ev.Report})
+}
+
+// wake fires the timers that are due.
+func (c *Core) wake() {
+	for len(c.timers) > 0 && c.timers[0].at <= c.now {
+		t := heap.Pop(&c.timers).(timer)
+		r := c.reqs[t.id]
+		switch {
+		case t.id == "":
+			c.tell(control.Event{Kind: control.TimerDue, Timer: t.label})
+		case r == nil:
+		case t.attempt >= 0:
+			r.tries[t.attempt].late = true
+			c.stop(r, t.attempt)
+		case !r.over:
+			// Guards against decisions that let a deadline pass: the answer is
+			// owed now, whatever they wait for.
+			for i := range r.tries {
+				r.tries[i].late = true
+			}
+			c.finish(r, true, 0)
+			c.tell(control.Event{Kind: control.Abandoned, Req: r.ID})
+		}
+	}
+}
--- /dev/null
+++ b/internal/engine/message.go
@@ -0,0 +1,111 @@
+package engine
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"dewhill/control"
+	"dewhill/internal/lines"
+)
+
+// The limits on what an engine may send.
+const (
+	mostLine  = 4 << 10
+	mostPage  = 64 << 10
+	mostPages = 4096
+	mostRows  = 4 << 20
+)
+
+// reply is one answer of an engine.
+type reply struct {
+	id, word string
+	fields   map[string]string
+	body     []byte
+}
+
+var errGarbage = errors.New("what came is no answer")
+
+// readReply reads one answer: ID WORD FIELDS LENGTH, then that many bytes.
+func readReply(b *lines.Buffer) (*reply, error) {
+	line, err := b.Line()
+	if err != nil {
+		return nil, err
+	}
+	parts := strings.Split(line, " ")
+	if len(parts) != 4 || parts[0] == "" {
+		return nil, fmt.Errorf("%w: %.40q", errGarbage, line)
+	}
+	n, err := strconv.ParseUint(parts[3], 10, 31)
+	if err != nil || n > mostPage {
+		return nil, fmt.Errorf("%w: length %.20q", errGarbage, parts[3])
+	}
+	r := &reply{id: parts[0], word: parts[1]}
+	if r.fields, err = fields(parts[2]); err != nil {
+		return nil, err
+	}
+	body, err := b.Take(int(n) + 2)
+	if err != nil {
+		return nil, err
+	}
+	if string(body[n:]) != "\r\n" {
+		return nil, fmt.Errorf("%w: %d bytes do not end the line", errGarbage, n)
+	}
+	r.body = append([]byte(nil), body[:n]...)
+	return r, nil
+}
+
+func fields(text string) (map[string]string, error) {
+	if text == "-" {
+		return nil, nil
+	}
+	out := map[string]string{}
+	for part := range strings.SplitSeq(text, ",") {
+		name, value, ok := strings.Cut(part, "=")
+		if !ok || name == "" {
+			return nil, fmt.Errorf("%w: field %.40q", errGarbage, part)
+		}
+		out[name] = value
+	}
+	return out, nil
+}
+
+// number returns a field that holds a number from 0 up; 0 where there is none.
+func (r *reply) number(name string) float64 {
+	x, err := strconv.ParseFloat(r.fields[name], 64)
+	if err != nil || !(x >= 0) || math.IsInf(x, 0) {
+		return 0
+	}
+	return x
+}
+
+// report reads a load report, inflight:7;util:0.61, or nil where there is none.
+func (r *reply) report() *control.Report {
+	text := r.fields["load"]
+	if text == "" {
+		return nil
+	}
+	rep := control.Report{InFlight: -1, Waiting: -1, Busy: -1, Memory: -1, Disks: -1}
+	for part := range strings.SplitSeq(text, ";") {
+		name, value, _ := strings.Cut(part, ":")
+		x, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(x >= 0) || math.IsInf(x, 0) {
+			continue
+		}
+		switch name {
+		case "inflight", "rif":
+			rep.InFlight = x
+		case "queue", "q":
+			rep.Waiting = x
+		case "util", "busy":
+			rep.Busy = x
+		case "x0":
+			rep.Memory = x
+		case "x1":
+			rep.Disks = x
+		}
+	}
+	return &rep
+}
--- /dev/null
+++ b/internal/engine/pool.go
@@ -0,0 +1,572 @@
+// Package engine is the side that speaks to the platform's engines: lines over
+// TCP, many requests to a connection.
+package engine
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/textproto"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"dewhill/control"
+	"dewhill/internal/core"
+	"dewhill/internal/lines"
+)
+
+// Host is the event loop. Post may be called from any goroutine, the rest only
+// from the loop's own.
+type Host interface {
+	Post(func())
+	Now() float64
+	After(ms float64, f func())
+	Ended(ev core.AttemptEnded, result any)
+	Probed(ev core.Probed)
+	Logf(format string, args ...any)
+}
+
+// Options are the pool's settings.
+type Options struct {
+	Classes        []string
+	ConnectTimeout time.Duration
+	Idle           time.Duration // engines close idle connections after it
+	Streams        int           // requests that one connection carries
+	MostConns      int           // of the whole pool
+}
+
+// Counters count what goes to engines and what comes from them.
+type Counters struct {
+	Dials, DialFailures, ConnsLost, Garbage int
+	Pulls, Kills, Boosts, Scrolls, Discards int
+	Words                                   map[string]int
+	LateAnswers, PagesLost, Probes, NoConn  int
+}
+
+const (
+	probeTimeout = 250  // ms
+	silentAfter  = 1000 // ms without a sign of life after which a connection is not trusted alone
+	writeIn      = 5 * time.Second
+	queued       = 512 // commands that wait for a connection's writer
+)
+
+// Pool holds the connections to all engines. Only the loop's goroutine touches
+// it; each connection has a goroutine that reads and one that writes.
+type Pool struct {
+	host    Host
+	o       Options
+	engines map[string]*machine
+	conns   int
+	tag     int
+	Count   Counters
+}
+
+// machine is an engine. Its identity is its id: a new engine may take the
+// address of one that has gone.
+type machine struct {
+	id, addr string
+	gone     bool
+	conns    []*conn
+	heardAt  float64
+	out      map[string]*exchange // by request
+}
+
+type conn struct {
+	m      *machine
+	addr   string
+	nc     net.Conn
+	up     bool
+	dead   bool
+	out    chan command
+	open   map[string]*exchange
+	killed map[string]bool // ids given up here: their answers may still come
+	idleAt float64         // since when nothing is open
+}
+
+// exchange is an attempt, or a probe.
+type exchange struct {
+	id      string
+	attempt int
+	conn    *conn
+	first   command // that opens it
+	written atomic.Bool
+	stopped bool
+	at      float64
+	probe   bool
+
+	acked      bool // the query is done
+	pages      [][]byte
+	have, size int
+	cpu, used  float64
+	report     *control.Report
+}
+
+// command is a line to an engine, with a body if it is a PULL.
+type command struct {
+	line string
+	body []byte
+	ex   *exchange // PULL: that it opens
+	then func()    // in the loop, once it is written
+}
+
+// New returns a pool that knows no engine.
+func New(host Host, o Options) *Pool {
+	p := &Pool{host: host, o: o, engines: map[string]*machine{}}
+	p.Count.Words = map[string]int{}
+	host.After(500, p.sweep)
+	return p
+}
+
+// Place tells where an engine listens, or that it is gone.
+func (p *Pool) Place(id, addr string, gone bool) {
+	m := p.engines[id]
+	if m == nil {
+		if gone {
+			return
+		}
+		m = &machine{id: id, out: map[string]*exchange{}}
+		p.engines[id] = m
+	}
+	if m.gone = gone; gone || m.addr != addr {
+		for _, c := range slices.Clone(m.conns) {
+			if len(c.open) == 0 {
+				p.lost(c, nil)
+			}
+		}
+	}
+	if !gone {
+		m.addr = addr
+	}
+}
+
+// Start sends an attempt out.
+func (p *Pool) Start(s core.Start, class int, work any) {
+	statement, _ := work.([]byte)
+	m := p.engines[s.Engine]
+	ex := &exchange{id: s.ID, attempt: s.Attempt, at: p.host.Now()}
+	if m == nil || m.gone {
+		p.end(ex, control.ConnectFailed)
+		return
+	}
+	c := p.pick(m, s.ID)
+	if c == nil {
+		p.Count.NoConn++
+		p.end(ex, control.ConnectFailed)
+		return
+	}
+	wait := max(1, int(s.Until-p.host.Now()))
+	ex.first = command{line: fmt.Sprintf("PULL %s c=%s,w=%d,nice=%d %d", s.ID, p.o.Classes[class], wait, s.Priority,
+		len(statement)), body: statement, ex: ex}
+	p.Count.Pulls++
+	m.out[key(s.ID, s.Attempt)] = ex
+	p.put(c, ex)
+}
+
+func key(id string, attempt int) string { return id + "/" + strconv.Itoa(attempt) }
+
+// put opens an exchange on a connection.
+func (p *Pool) put(c *conn, ex *exchange) {
+	ex.conn = c
+	c.open[ex.id] = ex
+	if c.up {
+		p.send(c, ex.first)
+	}
+}
+
+// send queues a command. The queue holds far more than a connection's requests
+// need: a full one means that nothing is written any more.
+func (p *Pool) send(c *conn, cmd command) {
+	if c.dead {
+		return
+	}
+	select {
+	case c.out <- cmd:
+	default:
+		p.lost(c, errors.New("its writer stands still"))
+	}
+}
+
+// pick returns a connection for a request, or nil. The same id must not be
+// open or lately given up there: an answer could belong to either attempt. And
+// a connection with work on which nothing was heard for long may lead to a
+// machine that has vanished, so a new one has to come up first; what waits for
+// that one never ran.
+func (p *Pool) pick(m *machine, id string) *conn {
+	var best *conn
+	silent := p.host.Now()-m.heardAt > silentAfter
+	for _, c := range m.conns {
+		if c.dead || c.addr != m.addr || len(c.open) >= p.o.Streams || c.open[id] != nil || c.killed[id] {
+			continue
+		}
+		if c.up && silent && len(c.open)+len(c.killed) > 0 {
+			continue
+		}
+		if best == nil || c.up && !best.up || c.up == best.up && len(c.open) > len(best.open) {
+			best = c
+		}
+	}
+	if best != nil {
+		return best
+	}
+	return p.dial(m)
+}
+
+func (p *Pool) dial(m *machine) *conn {
+	if p.conns >= p.o.MostConns && !p.spare() {
+		return nil
+	}
+	c := &conn{m: m, addr: m.addr, out: make(chan command, queued), open: map[string]*exchange{},
+		killed: map[string]bool{}}
+	m.conns = append(m.conns, c)
+	p.conns++
+	p.Count.Dials++
+	go func() {
+		nc, err := net.DialTimeout("tcp", c.addr, p.o.ConnectTimeout)
+		p.host.Post(func() { p.dialled(c, nc, err) })
+	}()
+	return c
+}
+
+// spare closes the connection that has been idle longest, to make room.
+func (p *Pool) spare() bool {
+	var oldest *conn
+	for _, m := range p.engines {
+		for _, c := range m.conns {
+			if c.up && len(c.open) == 0 && (oldest == nil || c.idleAt < oldest.idleAt) {
+				oldest = c
+			}
+		}
+	}
+	if oldest != nil {
+		p.lost(oldest, nil)
+	}
+	return oldest != nil
+}
+
+func (p *Pool) dialled(c *conn, nc net.Conn, err error) {
+	if err != nil || c.dead {
+		if nc != nil {
+			nc.Close()
+		}
+		if err != nil {
+			p.Count.DialFailures++
+			p.lost(c, err)
+		}
+		return
+	}
+	c.nc, c.up, c.idleAt, c.m.heardAt = nc, true, p.host.Now(), p.host.Now()
+	go p.read(c)
+	go p.write(c)
+	waiting := make([]*exchange, 0, len(c.open))
+	for _, ex := range c.open {
+		waiting = append(waiting, ex)
+	}
+	// In the order in which they were asked for.
+	slices.SortFunc(waiting, func(a, b *exchange) int { return cmpFloat(a.at, b.at) })
+	for _, ex := range waiting {
+		p.send(c, ex.first)
+	}
+}
+
+func cmpFloat(a, b float64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func (p *Pool) read(c *conn) {
+	b := lines.New(c.nc, mostLine)
+	for {
+		r, err := readReply(b)
+		if err != nil {
+			p.host.Post(func() { p.lost(c, err) })
+			return
+		}
+		p.host.Post(func() { p.answer(c, r) })
+	}
+}
+
+// write sends commands, as many at once as have come up.
+func (p *Pool) write(c *conn) {
+	for cmd := range c.out {
+		batch := []command{cmd}
+		for more := true; more && len(batch) < 64; {
+			select {
+			case cmd, ok := <-c.out:
+				if more = ok; ok {
+					batch = append(batch, cmd)
+				}
+			default:
+				more = false
+			}
+		}
+		c.nc.SetWriteDeadline(time.Now().Add(writeIn))
+		err := lines.Write(c.nc, func(w *textproto.Writer) {
+			for _, cmd := range batch {
+				if cmd.ex != nil {
+					cmd.ex.written.Store(true)
+				}
+				w.W.WriteString(cmd.line)
+				w.W.WriteString("\r\n")
+				if cmd.ex != nil && !cmd.ex.probe {
+					w.W.Write(cmd.body)
+					w.W.WriteString("\r\n")
+				}
+			}
+		})
+		if err != nil {
+			p.host.Post(func() { p.lost(c, err) })
+			return
+		}
+		for _, cmd := range batch {
+			if cmd.then != nil {
+				p.host.Post(cmd.then)
+			}
+		}
+	}
+}
+
+// lost closes a connection. What was not written never ran; of the rest it is
+// not known.
+func (p *Pool) lost(c *conn, err error) {
+	if c.dead {
+		return
+	}
+	c.dead = true
+	close(c.out)
+	if c.nc != nil {
+		c.nc.Close()
+	}
+	p.conns--
+	c.m.conns = slices.DeleteFunc(c.m.conns, func(o *conn) bool { return o == c })
+	if errors.Is(err, errGarbage) || errors.Is(err, lines.ErrTooLong) {
+		p.Count.Garbage++
+		p.host.Logf("engine %s: %v", c.m.id, err)
+	}
+	if len(c.open) > 0 {
+		p.Count.ConnsLost++
+	}
+	for _, ex := range c.open {
+		switch {
+		case ex.stopped:
+			p.end(ex, control.Cancelled)
+		case !ex.written.Load():
+			p.end(ex, control.ConnectFailed)
+		default:
+			p.end(ex, control.Reset)
+		}
+	}
+	if c.m.gone && len(c.m.conns) == 0 {
+		delete(p.engines, c.m.id)
+	}
+	if errors.Is(err, syscall.EMFILE) {
+		p.host.Logf("out of descriptors for engine %s", c.m.id)
+	}
+}
+
+// end reports how an exchange ended.
+func (p *Pool) end(ex *exchange, res control.Result) {
+	if c := ex.conn; c != nil {
+		if c.open[ex.id] == ex {
+			delete(c.open, ex.id)
+		}
+		delete(c.m.out, key(ex.id, ex.attempt))
+		if c.idleAt = p.host.Now(); len(c.open) == 0 && !c.dead && (c.m.gone || c.addr != c.m.addr) {
+			defer p.lost(c, nil)
+		}
+	}
+	if ex.probe {
+		p.host.Probed(core.Probed{Engine: ex.conn.m.id, Result: res, Elapsed: p.host.Now() - ex.at, Report: ex.report})
+		return
+	}
+	var rows any
+	if res == control.Served {
+		rows = ex.pages
+	}
+	p.host.Ended(core.AttemptEnded{ID: ex.id, Attempt: ex.attempt, Result: res, Work: ex.cpu, MemoryMB: ex.used,
+		Report: ex.report}, rows)
+}
+
+// Stop gives an attempt up. Its end is reported once the engine's connection
+// has taken the word, unless an answer comes first.
+func (p *Pool) Stop(s core.Stop) {
+	m := p.engines[s.Engine]
+	if m == nil {
+		return
+	}
+	ex := m.out[key(s.ID, s.Attempt)]
+	if ex == nil || ex.stopped {
+		return
+	}
+	c := ex.conn
+	if !c.up {
+		p.end(ex, control.Moot) // still waits for its connection
+		return
+	}
+	ex.stopped = true
+	c.killed[ex.id] = true
+	p.host.After(10000, func() { delete(c.killed, ex.id) })
+	word := "KILL "
+	if ex.acked {
+		word = "DISCARD "
+		p.Count.Discards++
+	} else {
+		p.Count.Kills++
+	}
+	p.send(c, command{line: word + ex.id, then: func() {
+		if c.open[ex.id] == ex {
+			p.end(ex, control.Cancelled)
+		}
+	}})
+}
+
+// Rank gives an attempt a new priority.
+func (p *Pool) Rank(r core.Rank) {
+	m := p.engines[r.Engine]
+	if m == nil {
+		return
+	}
+	ex := m.out[key(r.ID, r.Attempt)]
+	if ex != nil && ex.conn.up && !ex.stopped && !ex.acked {
+		p.Count.Boosts++
+		p.send(ex.conn, command{line: fmt.Sprintf("BOOST %s %d", r.ID, r.Priority)})
+	}
+}
+
+// Probe asks an engine for its load.
+func (p *Pool) Probe(id string) {
+	m := p.engines[id]
+	if m == nil || m.gone {
+		return
+	}
+	c := p.pick(m, "")
+	if c == nil {
+		return
+	}
+	p.tag++
+	p.Count.Probes++
+	tag := fmt.Sprintf("m%d", p.tag)
+	ex := &exchange{id: tag, conn: c, at: p.host.Now(), probe: true}
+	ex.first = command{line: "METER " + tag, ex: ex}
+	p.put(c, ex)
+	p.host.After(probeTimeout, func() {
+		if c.open[tag] == ex {
+			p.end(ex, control.TimedOut)
+		}
+	})
+}
+
+func (p *Pool) answer(c *conn, r *reply) {
+	if c.dead {
+		return
+	}
+	c.m.heardAt = p.host.Now()
+	p.Count.Words[r.word]++
+	ex := c.open[r.id]
+	if ex == nil {
+		// The end of what was given up: it crossed our word on its way.
+		p.Count.LateAnswers++
+		if r.word == "ACK" && r.number("batches") > 1 {
+			p.Count.Discards++
+			p.send(c, command{line: "DISCARD " + r.id})
+		}
+		return
+	}
+	if rep := r.report(); rep != nil {
+		ex.report = rep
+	}
+	if ex.probe {
+		res := control.Served
+		if r.word != "READY" && r.word != "AILING" {
+			res = control.Errored
+		}
+		p.end(ex, res)
+		return
+	}
+	switch r.word {
+	case "ACK":
+		p.ack(c, ex, r)
+	case "BLOCK":
+		p.page(c, ex, r)
+	case "AGAIN":
+		p.end(ex, control.TurnedAway)
+	case "STALE":
+		p.end(ex, control.Moot)
+	default: // EIO, and what this program does not know
+		if ex.acked {
+			p.Count.PagesLost++
+		}
+		p.end(ex, control.Errored)
+	}
+}
+
+// ack takes page 0 and asks for all others at once: the result is served when
+// the last is here, so what is lost before can still be asked for again.
+func (p *Pool) ack(c *conn, ex *exchange, r *reply) {
+	n := int(min(r.number("batches"), mostPages+1))
+	if ex.acked || n > mostPages {
+		p.lost(c, fmt.Errorf("%w: %d pages", errGarbage, n))
+		return
+	}
+	ex.acked, ex.cpu, ex.used = true, r.number("cpu"), r.number("used")
+	ex.pages = make([][]byte, max(1, n))
+	ex.pages[0], ex.have, ex.size = r.body, 1, len(r.body)
+	if ex.stopped && n > 1 {
+		// The word that gave it up crossed this answer: the pages are still held there.
+		p.Count.Discards++
+		p.send(c, command{line: "DISCARD " + ex.id})
+		return
+	}
+	for k := 1; k < n; k++ {
+		p.Count.Scrolls++
+		p.send(c, command{line: fmt.Sprintf("SCROLL %s %d", ex.id, k)})
+	}
+	p.whole(c, ex)
+}
+
+func (p *Pool) page(c *conn, ex *exchange, r *reply) {
+	k, err := strconv.Atoi(r.fields["batch"])
+	if err != nil || k < 1 || k >= len(ex.pages) || ex.pages[k] != nil || ex.size+len(r.body) > mostRows {
+		p.lost(c, fmt.Errorf("%w: page %.20q", errGarbage, r.fields["batch"]))
+		return
+	}
+	ex.pages[k] = append([]byte{}, r.body...)
+	ex.have, ex.size = ex.have+1, ex.size+len(r.body)
+	p.whole(c, ex)
+}
+
+func (p *Pool) whole(c *conn, ex *exchange) {
+	if ex.have < len(ex.pages) || c.dead {
+		return
+	}
+	if len(ex.pages) > 1 {
+		p.Count.Discards++
+		p.send(c, command{line: "DISCARD " + ex.id})
+	}
+	if !c.dead {
+		p.end(ex, control.Served)
+	}
+}
+
+// sweep closes connections before their engine does: a request must not cross
+// the engine's close, as nobody could tell then whether it ran.
+func (p *Pool) sweep() {
+	for _, m := range p.engines {
+		for _, c := range slices.Clone(m.conns) {
+			if c.up && len(c.open) == 0 && p.host.Now()-c.idleAt > 0.6*float64(p.o.Idle.Milliseconds()) {
+				p.lost(c, nil)
+			}
+		}
+	}
+	p.host.After(500, p.sweep)
+}
+
+// Conns is how many connections there are.
+func (p *Pool) Conns() int { return p.conns }
--- /dev/null
+++ b/internal/lines/lines.go
@@ -0,0 +1,201 @@
+// Package lines reads messages made of lines and counted bytes. Each
+// connection has one Buffer, which grows as it needs and is compacted in
+// place; net/textproto parses the lines that lie in it.
+package lines
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/textproto"
+	"sync"
+)
+
+// ErrTooLong is returned for a line, head or body over its limit.
+var ErrTooLong = errors.New("message too long")
+
+// keep is the capacity that an empty buffer keeps: a large message must not
+// stay in memory for the life of its connection.
+const keep = 16 << 10
+
+// Buffer holds what has come in on one connection and is not used yet.
+type Buffer struct {
+	src  io.Reader
+	b    []byte
+	r    int // first unused byte
+	most int // longest head or line
+}
+
+// New returns a buffer over src whose lines and heads hold at most this many bytes.
+func New(src io.Reader, most int) *Buffer { return &Buffer{src: src, most: most} }
+
+// fill reads once more from the source, after making room.
+func (b *Buffer) fill() error {
+	if b.r > 0 {
+		n := copy(b.b, b.b[b.r:])
+		b.b, b.r = b.b[:n], 0
+	}
+	if len(b.b) == 0 && cap(b.b) > keep {
+		b.b = nil
+	}
+	if cap(b.b)-len(b.b) < 512 {
+		b.b = append(make([]byte, 0, max(4096, 2*cap(b.b))), b.b...)
+	}
+	n, err := b.src.Read(b.b[len(b.b):cap(b.b)])
+	b.b = b.b[:len(b.b)+n]
+	if n > 0 {
+		return nil
+	}
+	if err == nil {
+		err = io.ErrNoProgress
+	}
+	return err
+}
+
+// Buffered returns how many bytes are there and unused.
+func (b *Buffer) Buffered() int { return len(b.b) - b.r }
+
+// Wait returns once at least one unused byte is there.
+func (b *Buffer) Wait() error {
+	for b.Buffered() == 0 {
+		if err := b.fill(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// until returns the unused bytes up to the end that find reports, reading on
+// while it reports none.
+func (b *Buffer) until(find func([]byte) int) ([]byte, error) {
+	for {
+		if end := find(b.b[b.r:]); end >= 0 {
+			if end > b.most {
+				return nil, ErrTooLong
+			}
+			out := b.b[b.r : b.r+end]
+			b.r += end
+			return out, nil
+		}
+		if b.Buffered() > b.most {
+			return nil, ErrTooLong
+		}
+		if err := b.fill(); err != nil {
+			if err == io.EOF && b.Buffered() > 0 {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+	}
+}
+
+func lineEnd(p []byte) int {
+	if k := bytes.IndexByte(p, '\n'); k >= 0 {
+		return k + 1
+	}
+	return -1
+}
+
+func headEnd(p []byte) int {
+	for i := 0; ; {
+		k := bytes.IndexByte(p[i:], '\n')
+		if k < 0 {
+			return -1
+		}
+		line := bytes.TrimSuffix(p[i:i+k], []byte("\r"))
+		if i += k + 1; len(line) == 0 {
+			return i
+		}
+	}
+}
+
+// parser is textproto over a stretch of a Buffer. Parsers are shared: a
+// connection holds one only while it parses.
+type parser struct {
+	data bytes.Reader
+	buf  *bufio.Reader
+	text textproto.Reader
+}
+
+var parsers = sync.Pool{New: func() any {
+	p := &parser{}
+	p.buf = bufio.NewReaderSize(&p.data, 1024)
+	p.text.R = p.buf
+	return p
+}}
+
+func parse(data []byte, f func(*textproto.Reader) error) error {
+	p := parsers.Get().(*parser)
+	defer parsers.Put(p)
+	p.data.Reset(data)
+	p.buf.Reset(&p.data)
+	return f(&p.text)
+}
+
+// Line returns the next line without its end.
+func (b *Buffer) Line() (line string, err error) {
+	data, err := b.until(lineEnd)
+	if err != nil {
+		return "", err
+	}
+	err = parse(data, func(r *textproto.Reader) (err error) {
+		line, err = r.ReadLine()
+		return err
+	})
+	return line, err
+}
+
+// Head returns the first line and the fields of a head that an empty line ends.
+func (b *Buffer) Head() (first string, fields textproto.MIMEHeader, err error) {
+	// A head may have an empty line before it (RFC 9112, 2.2).
+	for {
+		if err := b.Wait(); err != nil {
+			return "", nil, err
+		}
+		if c := b.b[b.r]; c != '\r' && c != '\n' {
+			break
+		}
+		b.r++
+	}
+	data, err := b.until(headEnd)
+	if err != nil {
+		return "", nil, err
+	}
+	err = parse(data, func(r *textproto.Reader) (err error) {
+		if first, err = r.ReadLine(); err != nil {
+			return err
+		}
+		fields, err = r.ReadMIMEHeader()
+		return err
+	})
+	return first, fields, err
+}
+
+// Take returns the next n bytes. They are good until the next call.
+func (b *Buffer) Take(n int) ([]byte, error) {
+	for b.Buffered() < n {
+		if err := b.fill(); err != nil {
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+	}
+	out := b.b[b.r : b.r+n]
+	b.r += n
+	return out, nil
+}
+
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, 4096) }}
+
+// Write lets f write lines to dst and sends them on.
+func Write(dst io.Writer, f func(*textproto.Writer)) error {
+	w := writers.Get().(*bufio.Writer)
+	defer writers.Put(w)
+	w.Reset(dst)
+	f(textproto.NewWriter(w))
+	err := w.Flush()
+	w.Reset(nil)
+	return err
+}
--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"dewhill/internal/board"
+	"dewhill/internal/wire"
+)
+
+// Config is what the platform tells a front end.
+type Config struct {
+	Name   string `json:"name"`
+	Listen string `json:"listen"`
+	Seed   string `json:"seed"`
+	Limits struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	PeerListen string        `json:"peer_listen"`
+	Peers      []string      `json:"peers"`
+	PeersAll   string        `json:"peers_all"`
+	Board      string        `json:"board"`
+	Known      board.Notices `json:"known"`
+	Settings   wire.Settings `json:"settings"`
+
+	seed uint64
+}
+
+// ReadConfig reads the file and checks it.
+func ReadConfig(path string) (*Config, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	c := &Config{}
+	if err := json.Unmarshal(data, c); err != nil {
+		return nil, fmt.Errorf("%s: %v", path, err)
+	}
+	if name := os.Getenv("PROXY_NAME"); name != "" {
+		c.Name = name
+	}
+	if listen := os.Getenv("PROXY_LISTEN"); listen != "" {
+		c.Listen = listen
+	}
+	if err := c.check(); err != nil {
+		return nil, fmt.Errorf("%s: %v", path, err)
+	}
+	return c, nil
+}
+
+func (c *Config) check() (err error) {
+	if c.seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
+		return fmt.Errorf("seed %q is not a hexadecimal number", c.Seed)
+	}
+	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
+		return fmt.Errorf("listen: %v", err)
+	}
+	if _, _, err := net.SplitHostPort(c.Board); c.Board != "" && err != nil {
+		return fmt.Errorf("board: %v", err)
+	}
+	if err := c.Known.Check(); err != nil {
+		return fmt.Errorf("known: %v", err)
+	}
+	if c.Board == "" && len(c.Known.Notices) == 0 {
+		return errors.New("neither board nor known: no engine can be found")
+	}
+	if len(c.Settings.Categories) == 0 {
+		return errors.New("settings: no classes")
+	}
+	seen := map[string]bool{}
+	for _, k := range c.Settings.Categories {
+		if k.Name == "" || seen[k.Name] {
+			return fmt.Errorf("settings: class %q has no name of its own", k.Name)
+		}
+		seen[k.Name] = true
+	}
+	if _, err := c.Settings.Control(); err != nil {
+		return fmt.Errorf("settings: %v", err)
+	}
+	if c.Limits.Sockets == 0 {
+		c.Limits.Sockets = 1024
+	}
+	if c.Limits.Sockets < 32 {
+		return fmt.Errorf("limits: %d sockets are too few", c.Limits.Sockets)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/loop.go
@@ -0,0 +1,248 @@
+// Package node runs the program: one event loop for each front, its clock, the
+// configuration, signals and counters.
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"time"
+
+	"dewhill/control"
+	"dewhill/internal/core"
+)
+
+// backend is the side towards the engines. It is called in the loop only.
+type backend interface {
+	Start(s core.Start, class int, work any)
+	Stop(core.Stop)
+	Rank(core.Rank)
+	Probe(engine string)
+}
+
+// clock gives Unix milliseconds that never go back: the wall clock at the
+// start, and the monotonic clock from there.
+type clock struct {
+	start time.Time
+	base  float64
+}
+
+func newClock() clock {
+	now := time.Now()
+	return clock{now, float64(now.UnixMicro()) / 1000}
+}
+
+func (c clock) now() float64 { return c.base + float64(time.Since(c.start).Microseconds())/1000 }
+
+const (
+	queued      = 1024 // events that wait for the loop; whoever posts more waits
+	mostRecent  = 16384
+	recentForMs = 60000
+)
+
+// job is a request that owes its front an answer.
+type job struct {
+	class  int
+	work   any
+	answer func(core.Answer, any)
+	result any
+	served int // the attempt that result is of
+}
+
+// Loop is the goroutine that owns a core and everything round it. Events are
+// applied in the order in which they were posted.
+type Loop struct {
+	clock
+	name    string
+	core    *core.Core
+	back    backend
+	in      chan func()
+	jobs    map[string]*job
+	recent  map[string]bool // ids taken lately, so that none is taken twice
+	order   []recent
+	pending []func() // to run after the event at hand
+	busy    bool
+	tell    func([]byte)
+	report  func() any
+	late    float64 // worst delay of a wake, ms
+	Count   struct {
+		Events, Taken, Served, Refused, Failed, Gone int
+		Starts, Stops                                int
+		Results                                      map[string]int // of attempts
+	}
+}
+
+type recent struct {
+	id string
+	at float64
+}
+
+var resultNames = map[control.Result]string{control.Served: "served", control.Errored: "error",
+	control.TurnedAway: "full", control.TimedOut: "timeout", control.ConnectFailed: "connect_failed",
+	control.Reset: "reset", control.Cancelled: "cancelled", control.Moot: "moot"}
+
+func newLoop(name string, s control.Settings, seed uint64) *Loop {
+	l := &Loop{clock: newClock(), name: name, core: core.New(s, seed), in: make(chan func(), queued),
+		jobs: map[string]*job{}, recent: map[string]bool{}}
+	l.Count.Results = map[string]int{}
+	return l
+}
+
+// Post hands a function to the loop. It may be called from any goroutine but
+// the loop's own.
+func (l *Loop) Post(f func()) { l.in <- f }
+
+// Now is the loop's clock, in Unix milliseconds.
+func (l *Loop) Now() float64 { return l.now() }
+
+// After calls f in the loop after a time.
+func (l *Loop) After(ms float64, f func()) {
+	time.AfterFunc(time.Duration(ms*float64(time.Millisecond)), func() { l.Post(f) })
+}
+
+// Logf writes a line to the log.
+func (l *Loop) Logf(format string, args ...any) {
+	fmt.Fprintf(os.Stderr, "%s %s: %s\n", time.Now().UTC().Format("15:04:05.000"), l.name, fmt.Sprintf(format, args...))
+}
+
+// run applies events until stop returns true, which it asks after each.
+func (l *Loop) run(stop func() bool) {
+	wake := time.NewTimer(0)
+	for !stop() {
+		if next := l.core.Next(); !math.IsInf(next, 1) {
+			wake.Reset(time.Duration(max(0, next-l.Now()) * float64(time.Millisecond)))
+		}
+		select {
+		case f := <-l.in:
+			l.Count.Events++
+			f()
+		case <-wake.C:
+		}
+		if now := l.Now(); l.core.Next() <= now {
+			l.late = max(l.late, now-l.core.Next())
+			l.apply(core.Woke{})
+		}
+	}
+}
+
+// apply gives an event to the core and carries out the effects. An effect may
+// bring an event with it, which waits for its turn.
+func (l *Loop) apply(ev core.Event) {
+	if l.busy {
+		l.pending = append(l.pending, func() { l.apply(ev) })
+		return
+	}
+	l.busy = true
+	for _, e := range l.core.Apply(l.Now(), ev) {
+		l.do(e)
+	}
+	l.busy = false
+	for len(l.pending) > 0 && !l.busy {
+		f := l.pending[0]
+		l.pending = l.pending[1:]
+		f()
+	}
+}
+
+func (l *Loop) do(e core.Effect) {
+	switch e := e.(type) {
+	case core.Start:
+		j := l.jobs[e.ID]
+		if j == nil {
+			return
+		}
+		l.Count.Starts++
+		l.back.Start(e, j.class, j.work)
+	case core.Stop:
+		l.Count.Stops++
+		l.back.Stop(e)
+	case core.Rank:
+		l.back.Rank(e)
+	case core.Answer:
+		l.answer(e)
+	case core.Probe:
+		l.back.Probe(e.Engine)
+	case core.Tell:
+		if l.tell != nil {
+			l.tell(e.Message)
+		}
+	case core.Log:
+		l.Logf("%s", e.Text)
+	}
+}
+
+func (l *Loop) answer(a core.Answer) {
+	j := l.jobs[a.ID]
+	if j == nil {
+		return
+	}
+	delete(l.jobs, a.ID)
+	switch a.Outcome {
+	case core.Served:
+		l.Count.Served++
+	case core.Refused:
+		l.Count.Refused++
+	case core.Failed:
+		l.Count.Failed++
+	}
+	j.answer(a, j.result)
+}
+
+// Submit takes a request in. Its answer comes once, in the loop.
+func (l *Loop) Submit(r core.Request, work any, answer func(core.Answer, any)) error {
+	// An id names one request: taken twice, a load could run twice.
+	if l.jobs[r.ID] != nil || l.recent[r.ID] {
+		return errors.New("this id was taken before")
+	}
+	l.remember(r.ID)
+	l.jobs[r.ID] = &job{class: r.Class, work: work, answer: answer}
+	l.Count.Taken++
+	l.apply(core.Arrived{Request: r})
+	return nil
+}
+
+func (l *Loop) remember(id string) {
+	now := l.Now()
+	l.recent[id] = true
+	l.order = append(l.order, recent{id, now})
+	for len(l.order) > mostRecent || l.order[0].at < now-recentForMs {
+		delete(l.recent, l.order[0].id)
+		l.order = l.order[1:]
+	}
+}
+
+// Abandon gives a request up whose client has gone.
+func (l *Loop) Abandon(id string) {
+	if l.jobs[id] != nil {
+		delete(l.jobs, id)
+		l.Count.Gone++
+		l.apply(core.Abandoned{ID: id})
+	}
+}
+
+// Ended takes in how an attempt ended, with its result if it was served.
+func (l *Loop) Ended(ev core.AttemptEnded, result any) {
+	l.Count.Results[resultNames[ev.Result]]++
+	if j := l.jobs[ev.ID]; j != nil && ev.Result == control.Served {
+		j.result = result
+	}
+	l.apply(ev)
+}
+
+// Probed takes in how a probe ended.
+func (l *Loop) Probed(ev core.Probed) { l.apply(ev) }
+
+// Report returns the counters as JSON.
+func (l *Loop) Report() []byte {
+	var all any
+	if l.report != nil {
+		all = l.report()
+	}
+	b, err := json.Marshal(all)
+	if err != nil {
+		return []byte("{}")
+	}
+	return b
+}
--- /dev/null
+++ b/internal/rest/front.go
@@ -0,0 +1,480 @@
+// Package rest is the platform's front: it takes requests over HTTP/1.1 and
+// gives their answers. It decides nothing about them.
+package rest
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"dewhill/internal/core"
+	"dewhill/internal/lines"
+	"dewhill/internal/statement"
+)
+
+// Host is the event loop that the front hands its requests to. Post may be
+// called from any goroutine, the rest only from the loop's own.
+type Host interface {
+	Post(func())
+	Now() float64
+	Submit(r core.Request, work any, answer func(core.Answer, any)) error
+	Abandon(id string)
+	After(ms float64, f func())
+	Report() []byte
+}
+
+// Counters count what the front takes in and answers.
+type Counters struct {
+	Connections, Calls, Requests, Malformed, Overload, Abandoned int
+	Served, Refused, Failed, Polls, LostWriters                  int
+	AcceptErrors                                                 int
+}
+
+const (
+	prefix = "/api/v2/"
+	polls  = "/polls/"
+
+	holdMs    = 5000     // how long a call is held before it is answered with a path to call next
+	chunk     = 64 << 10 // text of rows in one answer
+	keepMs    = 5000     // how long an answer is kept after it was first given
+	mostKept  = 256      // answers kept for a call that is made again
+	messageIn = 10 * time.Second
+	writeIn   = 10 * time.Second
+	idleFor   = time.Minute
+)
+
+// Front is the state of the front. Only the loop's goroutine touches it.
+type Front struct {
+	host    Host
+	classes map[string]int
+	most    int // client connections that are served; a few more are told to come back
+	Count   Counters
+	conns   map[*conn]bool
+	open    map[string]*exchange
+	kept    []string // ids of exchanges whose answer is kept, oldest first
+	leaving bool
+	wait    int // what Srv-Wait-Ms says where the front itself refuses
+}
+
+// exchange is a request from its first call to the end of its last answer.
+type exchange struct {
+	id     string
+	conn   *conn // that waits for an answer, or nil
+	path   bool  // the client has been given a path
+	calls  int   // made so far, to know an outdated hold
+	done   bool
+	chunks [][][]byte
+	final  response // where there are no rows
+	next   int      // chunk that the waiting call asks for
+}
+
+// conn is a client's connection.
+type conn struct {
+	nc       net.Conn
+	out      chan *response
+	answered chan struct{} // one token for each call answered
+	ex       *exchange     // that it waits for
+	waiting  bool
+	excess   bool // over the budget
+	closed   bool
+}
+
+// New returns a front that serves the classes by name.
+func New(host Host, classes []string, most, waitMs int) *Front {
+	f := &Front{host: host, classes: map[string]int{}, most: most, conns: map[*conn]bool{},
+		open: map[string]*exchange{}, wait: waitMs}
+	for i, name := range classes {
+		f.classes[name] = i
+	}
+	return f
+}
+
+// Serve accepts clients until the listener is closed.
+func (f *Front) Serve(l net.Listener) {
+	for {
+		nc, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		} else if err != nil {
+			// Guards against running out of descriptors: the connection stays in
+			// the backlog and is accepted when others have closed.
+			f.host.Post(func() { f.Count.AcceptErrors++ })
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		c := &conn{nc: nc, out: make(chan *response, 4), answered: make(chan struct{}, 4)}
+		f.host.Post(func() { f.accept(c) })
+		go f.read(c)
+		go f.write(c)
+	}
+}
+
+func (f *Front) accept(c *conn) {
+	f.Count.Connections++
+	if c.closed {
+		return
+	}
+	f.conns[c] = true
+	c.excess = len(f.conns) > f.most
+	if len(f.conns) > f.most+f.most/4 {
+		f.drop(c) // guards the descriptors that engines need
+	}
+}
+
+// read parses calls and hands them to the loop, one at a time. While a call is
+// open it waits for the next byte, and so sees the client close.
+func (f *Front) read(c *conn) {
+	b := lines.New(c.nc, mostHead)
+	c.nc.SetReadDeadline(time.Now().Add(idleFor))
+	defer f.host.Post(func() { f.gone(c) })
+	for {
+		if b.Wait() != nil {
+			return
+		}
+		c.nc.SetReadDeadline(time.Now().Add(messageIn))
+		msg, err := readCall(b)
+		var wrong *badCall
+		if errors.As(err, &wrong) {
+			f.host.Post(func() { f.reject(c, wrong) })
+			<-c.answered
+			drain(c.nc)
+			return
+		} else if err != nil {
+			return
+		}
+		c.nc.SetReadDeadline(time.Time{})
+		f.host.Post(func() { f.call(c, msg) })
+		if b.Wait() != nil {
+			return
+		}
+		if _, ok := <-c.answered; !ok {
+			return
+		}
+	}
+}
+
+// drain takes in what is still on its way for a moment: closing at once would
+// reset the connection and could lose the answer that is being read.
+func drain(nc net.Conn) {
+	nc.SetReadDeadline(time.Now().Add(time.Second))
+	var junk [4096]byte
+	for range 1024 {
+		if _, err := nc.Read(junk[:]); err != nil {
+			return
+		}
+	}
+}
+
+// write sends what the loop queued. It ends when the loop closes the queue.
+func (f *Front) write(c *conn) {
+	var once sync.Once
+	for r := range c.out {
+		c.nc.SetWriteDeadline(time.Now().Add(writeIn))
+		err := r.write(c.nc)
+		c.answered <- struct{}{}
+		if err != nil || r.last {
+			if t, ok := c.nc.(*net.TCPConn); ok && err == nil {
+				t.CloseWrite()
+			}
+			once.Do(func() { time.AfterFunc(time.Second, func() { c.nc.Close() }) })
+		}
+	}
+	close(c.answered)
+	c.nc.Close()
+}
+
+// gone ends a connection. A request whose client has no path to come back by
+// is abandoned with it.
+func (f *Front) gone(c *conn) {
+	f.drop(c)
+	delete(f.conns, c)
+}
+
+func (f *Front) drop(c *conn) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	close(c.out)
+	if ex := c.ex; ex != nil {
+		c.ex, ex.conn = nil, nil
+		if !ex.path && !ex.done {
+			f.abandon(ex)
+		}
+	}
+}
+
+func (f *Front) abandon(ex *exchange) {
+	delete(f.open, ex.id)
+	if !ex.done {
+		f.Count.Abandoned++
+		f.host.Abandon(ex.id)
+	}
+}
+
+// reply queues a response. The queue holds more than a client can wait for, so
+// a full one means that the connection is of no use.
+func (f *Front) reply(c *conn, r *response) {
+	if c.closed {
+		return
+	}
+	c.ex, c.waiting = nil, false
+	select {
+	case c.out <- r:
+		c.nc.SetReadDeadline(time.Now().Add(idleFor))
+	default:
+		f.Count.LostWriters++
+		f.drop(c)
+	}
+}
+
+func (f *Front) reject(c *conn, wrong *badCall) {
+	f.Count.Malformed++
+	f.reply(c, &response{status: wrong.status, body: errBody(wrong.why), last: true})
+}
+
+func (f *Front) call(c *conn, m *call) {
+	f.Count.Calls++
+	switch {
+	case c.closed:
+	case m.method == "GET" && m.path == "/-/healthy":
+		status := 200
+		if f.leaving {
+			status = 503
+		}
+		f.reply(c, &response{status: status, body: []byte("{}"), last: m.last})
+	case m.method == "GET" && m.path == "/-/counters":
+		f.reply(c, &response{status: 200, body: f.host.Report(), last: m.last})
+	case strings.HasPrefix(m.path, polls):
+		f.poll(c, m)
+	case strings.HasPrefix(m.path, prefix):
+		if m.method != "POST" {
+			f.reject(c, &badCall{405, "only POST"})
+		} else if err := f.submit(c, m); err != nil {
+			var wrong *badCall
+			if !errors.As(err, &wrong) {
+				wrong = &badCall{409, err.Error()}
+			}
+			f.reject(c, wrong)
+		}
+	default:
+		f.reject(c, &badCall{404, "no such path"})
+	}
+}
+
+// request reads a request's fields. What is malformed never reaches an engine.
+func (f *Front) request(m *call) (r core.Request, err error) {
+	class, ok := f.classes[strings.TrimPrefix(m.path, prefix)]
+	if !ok {
+		return r, bad(404, "unknown class")
+	}
+	r.Class = class
+	if r.ID, err = m.one("Req-Id"); err != nil {
+		return r, err
+	} else if !isID(r.ID) {
+		return r, bad(400, "bad Req-Id")
+	}
+	text, err := m.one("Req-Wait-Ms")
+	if err != nil {
+		return r, err
+	}
+	wait, err := digits(text)
+	if err != nil || wait <= 0 {
+		return r, bad(400, "bad Req-Wait-Ms")
+	}
+	r.GiveUpAt = f.host.Now() + float64(wait)
+	if r.Work, err = m.amount("Req-Cost"); err != nil {
+		return r, err
+	}
+	if r.MemoryMB, err = m.amount("X-Mb"); err != nil {
+		return r, err
+	}
+	if r.Key, err = m.one("Req-Key"); err != nil {
+		return r, err
+	}
+	if len(r.Key) > 256 {
+		return r, bad(400, "bad Req-Key")
+	}
+	r.Dataset = statement.Group(string(m.body))
+	return r, nil
+}
+
+func (f *Front) submit(c *conn, m *call) error {
+	r, err := f.request(m)
+	if err != nil {
+		return err
+	}
+	f.Count.Requests++
+	if c.excess {
+		// Guards the budget of descriptors: a client over it is told to come back.
+		f.Count.Overload++
+		f.Count.Refused++
+		f.reply(c, &response{status: 503, waitMs: f.wait, body: errBody("Rejected"), last: true})
+		return nil
+	}
+	ex := &exchange{id: r.ID}
+	if f.open[r.ID] != nil {
+		return bad(409, "Req-Id is in use")
+	}
+	f.open[r.ID] = ex
+	f.hold(c, ex, 0)
+	err = f.host.Submit(r, m.body, func(a core.Answer, result any) { f.finish(ex, a, result) })
+	if err != nil {
+		delete(f.open, r.ID)
+		c.ex, ex.conn = nil, nil
+	}
+	return err
+}
+
+// hold lets a call wait for news of its request.
+func (f *Front) hold(c *conn, ex *exchange, next int) {
+	ex.conn, ex.next = c, next
+	ex.calls++
+	c.ex = ex
+	calls := ex.calls
+	f.host.After(holdMs, func() {
+		if ex.conn != nil && ex.calls == calls && !ex.done {
+			c := ex.conn
+			ex.conn, ex.path = nil, true
+			f.Count.Polls++
+			f.reply(c, &response{status: 200, poll: ex.pathTo(0)})
+		}
+	})
+}
+
+func (ex *exchange) pathTo(k int) string { return fmt.Sprintf("%s%s/%d", polls, ex.id, k) }
+
+// finish takes the final answer and gives it to the call that waits for it.
+func (f *Front) finish(ex *exchange, a core.Answer, result any) {
+	ex.done = true
+	switch a.Outcome {
+	case core.Served:
+		f.Count.Served++
+		pages, _ := result.([][]byte)
+		ex.chunks = chunks(pages)
+	case core.Refused:
+		f.Count.Refused++
+		ex.final = response{status: 503, waitMs: int(math.Ceil(a.Wait)), body: errBody("Rejected")}
+	default:
+		f.Count.Failed++
+		ex.final = response{status: 502, body: errBody("Failed")}
+		if a.Late {
+			ex.final = response{status: 504, body: errBody("Deadline")}
+		}
+	}
+	if ex.conn != nil {
+		f.give(ex)
+	} else {
+		f.keep(ex)
+	}
+}
+
+// chunks groups pages into answers.
+func chunks(pages [][]byte) (out [][][]byte) {
+	size := chunk + 1
+	for _, p := range pages {
+		if size += len(p); size > chunk {
+			out, size = append(out, nil), len(p)
+		}
+		out[len(out)-1] = append(out[len(out)-1], p)
+	}
+	if out == nil {
+		out = [][][]byte{nil}
+	}
+	return out
+}
+
+// give answers the waiting call.
+func (f *Front) give(ex *exchange) {
+	c := ex.conn
+	ex.conn = nil
+	if ex.chunks == nil {
+		r := ex.final
+		f.reply(c, &r)
+	} else {
+		r := &response{status: 200, pages: ex.chunks[ex.next]}
+		if ex.next+1 < len(ex.chunks) {
+			r.poll, ex.path = ex.pathTo(ex.next+1), true
+		}
+		f.reply(c, r)
+	}
+	if !ex.path {
+		delete(f.open, ex.id)
+		return
+	}
+	f.keep(ex)
+}
+
+// keep keeps an answer for a call that is made again on a new connection, for
+// a while and within a bound.
+func (f *Front) keep(ex *exchange) {
+	if !slices.Contains(f.kept, ex.id) {
+		f.kept = append(f.kept, ex.id)
+	}
+	if len(f.kept) > mostKept {
+		f.forget(f.kept[0])
+	}
+	calls := ex.calls
+	f.host.After(keepMs, func() {
+		if ex.calls == calls && f.open[ex.id] == ex {
+			f.forget(ex.id)
+		}
+	})
+}
+
+func (f *Front) forget(id string) {
+	f.kept = slices.DeleteFunc(f.kept, func(k string) bool { return k == id })
+	if ex := f.open[id]; ex != nil && ex.done {
+		delete(f.open, id)
+	}
+}
+
+// poll is a call of a path that an earlier answer gave.
+func (f *Front) poll(c *conn, m *call) {
+	id, num, _ := strings.Cut(strings.TrimPrefix(m.path, polls), "/")
+	k, err := digits(num)
+	ex := f.open[id]
+	if err != nil || ex == nil || ex.done && ex.chunks != nil && k >= len(ex.chunks) {
+		f.reject(c, &badCall{404, "no such result"})
+		return
+	}
+	switch m.method {
+	case "GET":
+		if old := ex.conn; old != nil {
+			// The client makes its call again on a new connection: the old one is dead.
+			ex.conn, old.ex = nil, nil
+			f.drop(old)
+		}
+		f.hold(c, ex, k)
+		if ex.done {
+			f.give(ex)
+		}
+	case "DELETE":
+		if old := ex.conn; old != nil {
+			ex.conn, old.ex = nil, nil
+			f.drop(old)
+		}
+		f.abandon(ex)
+		f.reply(c, &response{status: 200, body: []byte("{}"), last: m.last})
+	default:
+		f.reject(c, &badCall{405, "only GET or DELETE"})
+	}
+}
+
+// Leave tells the front that the program is about to end.
+func (f *Front) Leave() { f.leaving = true }
+
+// Idle reports whether nothing is owed to any client.
+func (f *Front) Idle() bool {
+	for _, ex := range f.open {
+		if !ex.done || ex.conn != nil {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -10,24 +10,12 @@
 	"dewhill/control"
 )
 
-// env holds the settings as the wire names them. Keys that are not here are
-// skipped; those that are absent stay at zero.
-type env struct {
-	Categories []struct {
-		AimMs         float64 `json:"aimMs"`
-		AimStretch    float64 `json:"aimStretch"`
-		HardLimitMs   float64 `json:"hardLimitMs"`
-		Value         float64 `json:"value"`
-		LateValue     float64 `json:"lateValue"`
-		Effect        string  `json:"effect"`
-		Group         string  `json:"group"`
-		WindowMs      float64 `json:"windowMs"`
-		Sequential    bool    `json:"sequential"`
-		Stream        bool    `json:"stream"`
-		AllowedIn     []int   `json:"allowedIn"`
-		HostTypesOpen []int   `json:"hostTypesOpen"`
-	} `json:"categories"`
-	Contract struct {
+// Settings are what an instance is told at its start, by the simulator's first
+// message or in a front end's configuration. It is the only such type. Keys
+// that are not here are skipped; those that are absent stay at zero.
+type Settings struct {
+	Categories []Category `json:"categories"`
+	Contract   struct {
 		GraceToAnswerMs     float64 `json:"graceToAnswerMs"`
 		StopSendingWithinMs float64 `json:"stopSendingWithinMs"`
 		FallMultiple        float64 `json:"fallMultiple"`
@@ -59,17 +47,22 @@
 	} `json:"domain"`
 	HostTypes []string `json:"hostTypes"`
 	Limits    struct {
-		Cancel          bool    `json:"cancel"`
-		MaxRetryAfterMs float64 `json:"maxRetryAfterMs"`
-		MayTell         bool    `json:"mayTell"`
-		Probes          bool    `json:"probes"`
-		RetryAfter      bool    `json:"retryAfter"`
-		SecondCopies    bool    `json:"secondCopies"`
-		TryLimit        int     `json:"tryLimit"`
+		ConnIdleMs       float64 `json:"connIdleMs"`
+		ConnectTimeoutMs float64 `json:"connectTimeoutMs"`
+		MaxOpen          int     `json:"maxOpen"`
+		StreamsPerConn   int     `json:"streamsPerConn"`
+		Cancel           bool    `json:"cancel"`
+		MaxRetryAfterMs  float64 `json:"maxRetryAfterMs"`
+		MayTell          bool    `json:"mayTell"`
+		Probes           bool    `json:"probes"`
+		RetryAfter       bool    `json:"retryAfter"`
+		SecondCopies     bool    `json:"secondCopies"`
+		TryLimit         int     `json:"tryLimit"`
 	} `json:"limits"`
-	Ordinal        int     `json:"ordinal"`
-	OverShareWorth float64 `json:"overShareWorth"`
-	ReplicasOfMe   int     `json:"replicasOfMe"`
+	Localities     []string `json:"localities"`
+	Ordinal        int      `json:"ordinal"`
+	OverShareWorth float64  `json:"overShareWorth"`
+	ReplicasOfMe   int      `json:"replicasOfMe"`
 	Reporting      struct {
 		Via string `json:"via"`
 	} `json:"reporting"`
@@ -77,6 +70,23 @@
 	Zone   int     `json:"zone"`
 }
 
+// Category is a class of requests.
+type Category struct {
+	Name          string  `json:"name"`
+	AimMs         float64 `json:"aimMs"`
+	AimStretch    float64 `json:"aimStretch"`
+	HardLimitMs   float64 `json:"hardLimitMs"`
+	Value         float64 `json:"value"`
+	LateValue     float64 `json:"lateValue"`
+	Effect        string  `json:"effect"`
+	Group         string  `json:"group"`
+	WindowMs      float64 `json:"windowMs"`
+	Sequential    bool    `json:"sequential"`
+	Stream        bool    `json:"stream"`
+	AllowedIn     []int   `json:"allowedIn"`
+	HostTypesOpen []int   `json:"hostTypesOpen"`
+}
+
 // effects and groups hold what the settings' words stand for.
 var (
 	effects = map[string]control.Effect{"pure": control.Pure, "token": control.Keyed, "side_effect": control.Unsafe}
@@ -95,14 +105,14 @@
 		seed = uint64(signed)
 	}
 	line.Seed = seed
-	var e env
+	var e Settings
 	if len(m.Env) == 0 {
 		return Line{}, errors.New("no settings")
 	}
 	if err := json.Unmarshal(m.Env, &e); err != nil {
 		return Line{}, err
 	}
-	line.Settings, err = e.settings()
+	line.Settings, err = e.Control()
 	return line, err
 }
 
@@ -114,7 +124,8 @@
 	return v
 }
 
-func (e *env) settings() (control.Settings, error) {
+// Control returns the settings as the decisions take them.
+func (e *Settings) Control() (control.Settings, error) {
 	c, l := &e.Contract, &e.Limits
 	s := control.Settings{
 		Self: e.Ordinal, Gateways: e.ReplicasOfMe, Zone: e.Zone, Tick: e.TickMs,
