Report a cancelled attempt only once the KILL has had time to arrive

Cause: KILL and the next PULL go to different engines on different connections, and Pool.Stop reported the end as soon as the KILL was written.

--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -50,6 +50,7 @@
 	probeTimeout = 250  // ms
 	silentAfter  = 1000 // ms without a sign of life after which a connection is not trusted alone
 	writeIn      = 5 * time.Second
+	wordMs       = 10  // ms that a word to an engine may take on its way
 	queued       = 512 // commands that wait for a connection's writer
 )
 
@@ -420,10 +421,15 @@
 	} else {
 		p.Count.Kills++
 	}
+	// Guards the rule of one attempt at a time: what is sent next must not
+	// overtake the word on its way to another engine, so the end is reported
+	// only when the word has had time to arrive.
 	p.send(c, command{line: word + ex.id, then: func() {
-		if c.open[ex.id] == ex {
-			p.end(ex, control.Cancelled)
-		}
+		p.host.After(wordMs, func() {
+			if c.open[ex.id] == ex {
+				p.end(ex, control.Cancelled)
+			}
+		})
 	}})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,7 +23,6 @@
 const (
 	acceptFor  = 1000 * time.Millisecond // after SIGTERM: connections come for 0.4 s, requests for 0.2 s more
 	lastAnswer = 50 * time.Millisecond   // for what was written last to be on its way
-	settle     = 10.0                    // ms that a word to give up may take to its engine
 )
 
 // fit sets the scheduler and the collector to the machine's limits.
@@ -57,9 +56,6 @@
 	if err != nil {
 		return err
 	}
-	// A word to give an attempt up takes its time to the engine: the next
-	// request of the key must not overtake it.
-	s.OrderSettle += settle
 	n := &Node{cfg: cfg, loop: newLoop(cfg.Name, s, cfg.seed)}
 	names := make([]string, len(cfg.Settings.Categories))
 	for i, c := range cfg.Settings.Categories {
