End what earns least for its place when few of the clients' connections are left

Change: Settings.MaxOpen (a third of the descriptors); control.relieve ends, above 85% of it, what earns less for its time than places earn on the whole; unsafe work that is out is left alone.

--- a/control/api.go
+++ b/control/api.go
@@ -80,6 +80,7 @@
 	TriesPerReq  float64 // and this many more for each request taken
 	BudgetWindow float64
 	TryLimit     int
+	MaxOpen      int // places for open requests: more find no room at the front end
 
 	MayCancel, MayCopy, MayProbe, MayTell bool
 	AskForList                            bool // the engine list comes only when asked for
--- a/control/control.go
+++ b/control/control.go
@@ -58,6 +58,10 @@
 	peerStale    = 3.0    // messages missed after which a peer counts for nothing
 	neededLoads  = 0.2    // part of their loads that engines get which some class is bound to
 	dashPriority = 3      // of dashboards, the highest; other work keeps the engine's usual 1
+	openMost     = 0.85   // part of the places for open requests above which some are ended
+	openFull     = 0.97   // and above which that does not wait for the next sweep
+	lindy        = 0.5    // part of its delay so far that an attempt out too long is given to go on
+	leftLeast    = 0.2    // part of its expected time that an attempt has left at the least
 	rateHalf     = 5000.0 // ms over which the demand told to peers is averaged
 )
 
@@ -490,7 +494,10 @@
 		r.cl.usual.add(g.workOf(r))
 	}
 	g.take(r, g.workOf(r))
-	if g.hold(r); g.endsSoon(r) { // a client's last try may come with no time left to be looked after
+	if g.hold(r); g.s.MaxOpen > 0 && float64(len(g.open)) > openFull*float64(g.s.MaxOpen) {
+		g.relieve()
+	}
+	if g.endsSoon(r) { // a client's last try may come with no time left to be looked after
 		g.finish(r)
 	}
 }
@@ -608,7 +615,10 @@
 	past := g.now - max(retryOver, g.s.BudgetWindow) - sweepEvery
 	g.taken, g.extra = expire(g.taken, past), expire(g.extra, past)
 	g.open = slices.DeleteFunc(g.open, func(r *request) bool { return !g.look(r) })
+	g.yield += (g.earned/sweepEvery - g.yield) * sweepEvery / rateOver
+	g.earned = 0
 	g.shed()
+	g.relieve()
 }
 
 // look checks one request and reports whether it is still to be kept.
@@ -698,6 +708,9 @@
 	if !a.neverRan && ev.Result != Served && ev.Result != Errored && r.cl.InOrder {
 		g.rests[r.key] = rest{g.now + g.s.OrderSettle, r}
 	}
+	if ev.Result == Served && ev.Done {
+		g.earned += g.worth(r, 0)
+	}
 	g.learn(r, a, ev)
 	g.health(e, ev.Result)
 	if r.over || r.out() > 0 {
@@ -772,6 +785,59 @@
 	}
 }
 
+// worth is what an answer earns after a further time.
+func (g *Gateway) worth(r *request, after float64) float64 {
+	if g.now+after > g.due(r) {
+		return r.cl.Worth * r.cl.LateWorth
+	}
+	return r.cl.Worth
+}
+
+// relieve ends requests while few places are left for new ones: those that earn less for the time they will
+// hold theirs than places earn on the whole. It guards against places taken by what stands still behind
+// loads, or comes too late for any worth, while clients find none. Unsafe work that is out is left alone.
+func (g *Gateway) relieve() {
+	most := openMost * float64(g.s.MaxOpen)
+	if most <= 0 || float64(len(g.open)) <= most {
+		return
+	}
+	type place struct {
+		r       *request
+		density float64
+	}
+	var list []place
+	open := 0
+	for _, r := range g.open {
+		if r.over {
+			continue
+		}
+		if open++; r.streaming || (r.cl.Effect == Unsafe && r.out() > 0) {
+			continue
+		}
+		from, exp := r.at, g.alone(r)
+		if !r.cl.dash {
+			exp = g.lasts(r)
+		}
+		left := exp + g.now - from
+		if k := len(r.tries) - 1; k >= 0 && r.tries[k].out {
+			age := g.now - r.tries[k].at
+			left = max(exp-age, lindy*(age-exp), leftLeast*exp)
+		}
+		if d := g.worth(r, left) / max(1, left); d < g.yield/float64(g.s.MaxOpen) {
+			list = append(list, place{r, d})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b place) int { return cmp.Compare(a.density, b.density) })
+	for _, p := range list[:min(len(list), max(0, int(float64(open)-most)))] {
+		for i := range p.r.tries {
+			if a := &p.r.tries[i]; a.out && !a.cancelled && g.s.MayCancel {
+				g.cancel(p.r, i)
+			}
+		}
+		g.finish(p.r)
+	}
+}
+
 // density is the worth of a request for its work.
 func (g *Gateway) density(r *request) float64 {
 	in := g.inShare(r)
--- a/control/state.go
+++ b/control/state.go
@@ -146,6 +146,7 @@
 	askAt             float64   // when engines may be probed again
 	busyMs, threadMs  float64   // time of attempts, and of their threads
 	ratios            []float64 // latencies over work, for the median
+	earned, yield     float64   // worth served since the last sweep, and per ms, averaged
 }
 
 // peer is what a peer told last, and when.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,6 +16,7 @@
 	ID       string
 	Class    int
 	Key      string
+	At       float64 // when it came in
 	GiveUpAt float64 // when its client stops waiting
 	Work     float64 // estimate, 0: none
 	MemoryMB float64
@@ -203,6 +204,33 @@
 // Open is how many requests owe an answer.
 func (c *Core) Open() int { return c.open }
 
+// Census counts the open requests of a class.
+type Census struct {
+	Held, Out int // with no attempt out, and with one
+	Overdue   int // of both, past the time in which they are wanted
+}
+
+// Census counts the open requests of each class.
+func (c *Core) Census() []Census {
+	out := make([]Census, len(c.s.Classes))
+	for _, r := range c.reqs {
+		if r.over {
+			continue
+		}
+		k := &out[r.Class]
+		if r.out(len(r.tries)) {
+			k.Out++
+		} else {
+			k.Held++
+		}
+		cl := &c.s.Classes[r.Class]
+		if c.now > r.At+cl.Aim+cl.AimStretch*r.Work/float64(max(1, cl.Threads)) {
+			k.Overdue++
+		}
+	}
+	return out
+}
+
 // Next is when Woke is next due; infinite if never.
 func (c *Core) Next() float64 {
 	if len(c.timers) == 0 {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -45,10 +45,10 @@
 // job is a request that owes its front an answer.
 type job struct {
 	class  int
+	giveUp float64
 	work   any
 	answer func(core.Answer, any)
 	result any
-	served int // the attempt that result is of
 }
 
 // Loop is the goroutine that owns a core and everything round it. Events are
@@ -66,10 +66,11 @@
 	busy    bool
 	tell    func([]byte)
 	report  func() any
-	late    float64 // worst delay of a wake, ms
 	Count   struct {
 		Events, Taken, Served, Refused, Failed, Gone int
 		Starts, Stops                                int
+		Late                                         int            // answers after the client's deadline
+		WorstLate, WorstRead, WorstWake              float64        // ms: of these, from reading a request, of timers
 		Results                                      map[string]int // of attempts
 	}
 }
@@ -121,7 +122,7 @@
 		case <-wake.C:
 		}
 		if now := l.Now(); l.core.Next() <= now {
-			l.late = max(l.late, now-l.core.Next())
+			l.Count.WorstWake = max(l.Count.WorstWake, now-l.core.Next())
 			l.apply(core.Woke{})
 		}
 	}
@@ -179,6 +180,10 @@
 		return
 	}
 	delete(l.jobs, a.ID)
+	if late := l.Now() - j.giveUp; late > 0 {
+		l.Count.Late++
+		l.Count.WorstLate = max(l.Count.WorstLate, late)
+	}
 	switch a.Outcome {
 	case core.Served:
 		l.Count.Served++
@@ -197,8 +202,9 @@
 		return errors.New("this id was taken before")
 	}
 	l.remember(r.ID)
-	l.jobs[r.ID] = &job{class: r.Class, work: work, answer: answer}
+	l.jobs[r.ID] = &job{class: r.Class, giveUp: r.GiveUpAt, work: work, answer: answer}
 	l.Count.Taken++
+	l.Count.WorstRead = max(l.Count.WorstRead, l.Now()-r.At)
 	l.apply(core.Arrived{Request: r})
 	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,6 +56,11 @@
 	if err != nil {
 		return err
 	}
+	// Clients hold a third of the descriptors, and a connection each for every
+	// open request.
+	if most := cfg.Limits.Sockets / 3; s.MaxOpen == 0 || s.MaxOpen > most {
+		s.MaxOpen = most
+	}
 	n := &Node{cfg: cfg, loop: newLoop(cfg.Name, s, cfg.seed)}
 	names := make([]string, len(cfg.Settings.Categories))
 	for i, c := range cfg.Settings.Categories {
@@ -168,6 +173,6 @@
 	var mem runtime.MemStats
 	runtime.ReadMemStats(&mem)
 	return map[string]any{"front": n.front.Count, "requests": n.loop.Count, "engines": n.pool.Count, "node": n.count,
-		"open": n.loop.core.Open(), "engine_conns": n.pool.Conns(), "late_ms": math.Round(n.loop.late),
+		"open": n.loop.core.Open(), "engine_conns": n.pool.Conns(), "classes": n.loop.core.Census(),
 		"heap_mb": mem.HeapSys >> 20, "goroutines": runtime.NumGoroutine()}
 }
--- a/internal/rest/front.go
+++ b/internal/rest/front.go
@@ -17,8 +17,8 @@
 	"dewhill/internal/statement"
 )
 
-// Host is the event loop that the front hands its requests to. Post may be
-// called from any goroutine, the rest only from the loop's own.
+// Host is the event loop that the front hands its requests to. Post and Now may
+// be called from any goroutine, the rest only from the loop's own.
 type Host interface {
 	Post(func())
 	Now() float64
@@ -148,6 +148,7 @@
 			return
 		}
 		c.nc.SetReadDeadline(time.Time{})
+		msg.at = f.host.Now()
 		f.host.Post(func() { f.call(c, msg) })
 		if b.Wait() != nil {
 			return
@@ -287,7 +288,7 @@
 	if err != nil || wait <= 0 {
 		return r, bad(400, "bad Req-Wait-Ms")
 	}
-	r.GiveUpAt = f.host.Now() + float64(wait)
+	r.At, r.GiveUpAt = m.at, m.at+float64(wait)
 	if r.Work, err = m.amount("Req-Cost"); err != nil {
 		return r, err
 	}
--- a/internal/rest/message.go
+++ b/internal/rest/message.go
@@ -23,6 +23,7 @@
 	fields       textproto.MIMEHeader
 	body         []byte
 	last         bool // the client closes after it
+	at           float64
 }
 
 // badCall is a message that is answered with a 4xx or 5xx and a close.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -132,7 +132,7 @@
 		AnswerGrace: c.GraceToAnswerMs, DrainGrace: c.StopSendingWithinMs,
 		FallMultiple: c.FallMultiple, FallWindow: c.FallMs, ColdShare: c.ColdShare, WarmWithin: c.WarmWithinMs,
 		MustAsk: c.MustAskInMs, OrderSettle: c.OrderSettleMs,
-		SpareTries: c.SpareAttempts, TriesPerReq: c.ExtraPerRequest, BudgetWindow: c.CountedOverMs, TryLimit: l.TryLimit,
+		SpareTries: c.SpareAttempts, TriesPerReq: c.ExtraPerRequest, BudgetWindow: c.CountedOverMs, TryLimit: l.TryLimit, MaxOpen: l.MaxOpen,
 		MayCancel: l.Cancel, MayCopy: l.SecondCopies, MayProbe: l.Probes, MayTell: l.MayTell,
 		AskForList: e.Discovery == "ask", Advice: l.RetryAfter, MaxAdvice: l.MaxRetryAfterMs,
 		Priorities: e.Domain.TakesPriority, Grants: e.Domain.GrantsCount, LargestGrant: e.Domain.LargestShare,
