MySQL front with prepared statements on both sides, HAProxy importer, stand-in tests

One whole path: login, text and prepared statements, long data, NULLs, deadlines, refusals, errors, KILL QUERY, known ids of loads, draining by SIGHUP. The tests start the program between the go-sql-driver client and stand-in engines that count what they run.

--- a/cmd/dewhill/main.go
+++ b/cmd/dewhill/main.go
@@ -1,28 +1,47 @@
-// Dewhill is a front end for query engines.
+// Dewhill is a front end for query engines: see README.md.
 package main
 
 import (
+	"errors"
+	"flag"
 	"fmt"
 	"os"
 
+	"dewhill/internal/haproxy"
 	"dewhill/internal/node"
 )
 
 func main() {
-	if err := run(); err != nil {
+	if err := run(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "dewhill:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
-	path := os.Getenv("PROXY_CONFIG")
-	if path == "" {
-		return fmt.Errorf("PROXY_CONFIG names no configuration")
+func run(args []string) error {
+	if len(args) > 0 && args[0] == "import-haproxy" {
+		if len(args) != 2 {
+			return errors.New("usage: dewhill import-haproxy FILE")
+		}
+		return haproxy.Run(args[1], os.Stdout, os.Stderr)
 	}
-	cfg, err := node.ReadConfig(path)
+	flags := flag.NewFlagSet("dewhill", flag.ContinueOnError)
+	file := flags.String("mysql", "deploy/mysql.json", "the MySQL front's file; the front is off where there is none")
+	if err := flags.Parse(args); err != nil {
+		return err
+	}
+	my, err := node.ReadMySQL(*file)
 	if err != nil {
 		return err
 	}
-	return node.Run(cfg)
+	var cfg *node.Config
+	if path := os.Getenv("PROXY_CONFIG"); path != "" {
+		if cfg, err = node.ReadConfig(path); err != nil {
+			return err
+		}
+	}
+	if cfg == nil && my == nil {
+		return errors.New("nothing to serve: PROXY_CONFIG names no configuration, and the MySQL front is off")
+	}
+	return node.Run(cfg, my)
 }
--- /dev/null
+++ b/internal/mysql/program_test.go
@@ -0,0 +1,518 @@
+package mysql_test
+
+import (
+	"bytes"
+	"context"
+	"database/sql"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	driver "github.com/go-sql-driver/mysql"
+
+	"dewhill/internal/haproxy"
+	"dewhill/internal/mysql"
+	"dewhill/internal/testprog"
+)
+
+// deployment is the program with its MySQL front before stand-in engines.
+type deployment struct {
+	t       *testing.T
+	prog    *testprog.Program
+	path    string
+	cfg     mysql.Config
+	engines []*mysql.StandIn
+	db      *sql.DB
+}
+
+const settings = `{"categories":[
+	{"name":"lookup","aimMs":1000,"hardLimitMs":20000,"value":1,"effect":"pure"},
+	{"name":"load","aimMs":3000,"hardLimitMs":20000,"value":6,"effect":"side_effect","sequential":true}],
+	"hostTypes":["std-8"],"localities":["here"],"discovery":"push","replicasOfMe":1,"tickMs":5,
+	"domain":{"coresByKind":[8],"memoryByKindMb":[16384],"dop":[1,2],"classLoad":[false,false],"blockedByLoads":[false,false]},
+	"contract":{"graceToAnswerMs":20,"stopSendingWithinMs":500},
+	"limits":{"cancel":true,"retryAfter":true,"maxRetryAfterMs":500,"tryLimit":5,"connectTimeoutMs":5000}}`
+
+func deploy(t *testing.T, engines int, change func(*mysql.Config)) *deployment {
+	t.Helper()
+	d := &deployment{t: t, path: filepath.Join(t.TempDir(), "mysql.json")}
+	d.cfg = mysql.Config{On: true, Listen: testprog.FreeAddr(t), Read: "lookup", Load: "load",
+		Accounts: []mysql.Account{{User: "app", Password: "secret"}}}
+	if err := json.Unmarshal([]byte(settings), &d.cfg.Settings); err != nil {
+		t.Fatal(err)
+	}
+	for i := range engines {
+		e := mysql.NewStandIn(t, fmt.Sprintf("e%d", i))
+		d.engines = append(d.engines, e)
+		d.cfg.Engines = append(d.cfg.Engines, mysql.Engine{ID: e.ID, Address: e.Addr, Kind: "std-8", User: "gate", Password: "inner"})
+	}
+	if change != nil {
+		change(&d.cfg)
+	}
+	d.write()
+	d.prog = testprog.Start(t, []string{"PROXY_CONFIG="}, "-mysql", d.path)
+	d.db = open(t, "app:secret@tcp("+d.cfg.Listen+")/trips")
+	return d
+}
+
+func (d *deployment) write() {
+	data, err := json.Marshal(d.cfg)
+	if err == nil {
+		err = os.WriteFile(d.path, data, 0o600)
+	}
+	if err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+func open(t *testing.T, dsn string) *sql.DB {
+	t.Helper()
+	db, err := sql.Open("mysql", dsn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	driver.SetLogger(&driver.NopLogger{})
+	t.Cleanup(func() { db.Close() })
+	testprog.Until(t, "a login", func() bool { return db.Ping() == nil })
+	return db
+}
+
+func (d *deployment) ran(prefix string) (n int) {
+	for _, e := range d.engines {
+		n += e.Ran(prefix)
+	}
+	return n
+}
+
+func (d *deployment) set(on func(step, sql string) string) {
+	for _, e := range d.engines {
+		e.Set(on)
+	}
+}
+
+// once makes one step of one statement fail, the first time that it comes.
+func once(step, sql, act string) func(string, string) string {
+	var mu sync.Mutex
+	done := false
+	return func(s, q string) string {
+		mu.Lock()
+		defer mu.Unlock()
+		if done || s != step || !strings.HasPrefix(q, sql) {
+			return ""
+		}
+		done = true
+		return act
+	}
+}
+
+func code(err error) (uint16, string) {
+	var e *driver.MySQLError
+	if errors.As(err, &e) {
+		return e.Number, string(e.SQLState[:])
+	}
+	return 0, ""
+}
+
+func (d *deployment) wantCode(err error, number uint16, state string) {
+	d.t.Helper()
+	if n, s := code(err); n != number || s != state {
+		d.t.Errorf("error %v, want %d (%s)", err, number, state)
+	}
+}
+
+func (d *deployment) wantRan(prefix string, n int) {
+	d.t.Helper()
+	if got := d.ran(prefix); got != n {
+		d.t.Errorf("%q ran %d times, want %d", prefix, got, n)
+	}
+}
+
+// Rows come through as the engine made them: text and binary, NULLs, long data.
+func TestRows(t *testing.T) {
+	d := deploy(t, 2, nil)
+	var id string
+	var n int
+	var null sql.NullString
+	if err := d.db.QueryRow("SELECT a FROM trips_3.t").Scan(&id, &n, &null); err != nil || n != 0 || null.Valid {
+		t.Fatalf("text row %q %d %v: %v", id, n, null, err)
+	}
+	long := strings.Repeat("x", 100_000)
+	rows, err := d.db.Query("SELECT a FROM trips_3.t WHERE b = ? AND c = ? AND d = ? AND e = ?", 42, nil, "é?", long)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer rows.Close()
+	k := 0
+	for ; rows.Next(); k++ {
+		var b int
+		var c sql.NullString
+		var dd, e string
+		if err := rows.Scan(&id, &n, &null, &b, &c, &dd, &e); err != nil {
+			t.Fatal(err)
+		}
+		if n != k || null.Valid || b != 42 || c.Valid || dd != "é?" || e != long {
+			t.Errorf("row %d: %q %d %v %d %v %q and %d bytes", k, id, n, null, b, c, dd, len(e))
+		}
+	}
+	if k != 2 || rows.Err() != nil {
+		t.Errorf("%d rows: %v", k, rows.Err())
+	}
+	res, err := d.db.Exec("INSERT INTO trips_3.t VALUES (?)", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a, _ := res.RowsAffected(); a != 3 {
+		t.Errorf("%d rows affected, want 3", a)
+	}
+	d.wantRan("INSERT", 1)
+	if got := d.prog.Stop()["requests"].(map[string]any); got["Taken"] != 3.0 || got["Served"] != 3.0 {
+		t.Errorf("counters %v", got)
+	}
+}
+
+// The link dies between prepare and execute: nothing ran, so even a load runs
+// elsewhere, once.
+func TestLinkDiesAfterPrepare(t *testing.T) {
+	d := deploy(t, 2, nil)
+	d.set(once("prepare", "INSERT", "die"))
+	if _, err := d.db.Exec("INSERT INTO trips_1.t VALUES (?)", 5); err != nil {
+		t.Error(err)
+	}
+	d.wantRan("INSERT", 1)
+	// A session that holds the handle and has died since: its engine cuts it.
+	for range 5 {
+		if _, err := d.db.Exec("UPDATE trips_1.t SET a = ?", 5); err != nil {
+			t.Error(err)
+		}
+	}
+	d.wantRan("UPDATE", 5)
+}
+
+// The link dies after execute was written: a load may have run, so it fails
+// with an error that says so; a read goes elsewhere.
+func TestLinkDiesAfterExecute(t *testing.T) {
+	d := deploy(t, 2, nil)
+	for _, act := range []string{"die", "run-die"} {
+		d.set(once("execute", "INSERT INTO trips_1."+act, act))
+		_, err := d.db.Exec("INSERT INTO trips_1."+act+" VALUES (?)", 5)
+		d.wantCode(err, 1180, "08007")
+	}
+	d.wantRan("INSERT INTO trips_1.die", 0)
+	d.wantRan("INSERT INTO trips_1.run-die", 1)
+	d.set(once("execute", "SELECT", "run-die"))
+	var id, null any
+	var n, v int
+	if err := d.db.QueryRow("SELECT a FROM trips_1.t WHERE b = ?", 7).Scan(&id, &n, &null, &v); err != nil || v != 7 {
+		t.Errorf("a read gave %d: %v", v, err)
+	}
+	d.wantRan("SELECT", 2)
+}
+
+// A handle is reused after its engine drains: it is prepared anew on another.
+func TestHandleOutlivesItsEngine(t *testing.T) {
+	d := deploy(t, 2, nil)
+	st, err := d.db.Prepare("INSERT INTO trips_1.t VALUES (?)")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer st.Close()
+	runs := 0
+	exec := func() {
+		t.Helper()
+		if _, err := st.Exec(runs); err != nil {
+			t.Fatal(err)
+		}
+		runs++
+		d.wantRan("INSERT", runs)
+	}
+	exec()
+	exec()
+	first, other := d.engines[0], d.engines[1]
+	if first.Ran("INSERT") == 0 {
+		first, other = other, first
+	}
+	for i := range d.cfg.Engines {
+		d.cfg.Engines[i].State = "active"
+		if d.cfg.Engines[i].ID == first.ID {
+			d.cfg.Engines[i].State = "leaving"
+		}
+	}
+	d.write()
+	d.prog.Signal(syscall.SIGHUP)
+	testprog.Until(t, "the list to be read", func() bool { return strings.Contains(d.prog.Log(), "engines read") })
+	before := first.Ran("INSERT")
+	prepares, _ := other.Told()
+	for range 3 {
+		exec()
+	}
+	if first.Ran("INSERT") != before {
+		t.Errorf("the engine that drains ran %d more", first.Ran("INSERT")-before)
+	}
+	if p, _ := other.Told(); p == prepares {
+		t.Error("nothing was prepared on the other engine")
+	}
+}
+
+// An engine that no longer knows a handle has run nothing.
+func TestEngineForgetsHandle(t *testing.T) {
+	d := deploy(t, 2, nil)
+	d.set(once("execute", "INSERT", "error 1243"))
+	if _, err := d.db.Exec("INSERT INTO trips_1.t VALUES (?)", 1); err != nil {
+		t.Error(err)
+	}
+	d.wantRan("INSERT", 1)
+}
+
+// A deadline has its own error, and the engine is told to stop.
+func TestDeadline(t *testing.T) {
+	d := deploy(t, 1, nil)
+	d.set(func(step, q string) string {
+		if step != "prepare" && strings.Contains(q, "slow") {
+			return "hang"
+		}
+		return ""
+	})
+	var v any
+	err := d.db.QueryRow("SELECT /* dewhill: deadline=300 */ slow FROM trips_1.t").Scan(&v)
+	d.wantCode(err, 3024, "HYT00")
+	_, err = d.db.Exec("/* dewhill: deadline=300 */ INSERT INTO trips_1.slow VALUES (?)", 1)
+	d.wantCode(err, 1180, "08007")
+	testprog.Until(t, "both to be killed", func() bool { _, kills := d.engines[0].Told(); return kills >= 2 })
+}
+
+// A client that goes cancels what it asked for.
+func TestClientGoes(t *testing.T) {
+	d := deploy(t, 1, nil)
+	d.set(func(step, q string) string {
+		if step == "query" {
+			return "hang"
+		}
+		return ""
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		_, err := d.db.ExecContext(ctx, "SELECT slow FROM trips_1.t")
+		done <- err
+	}()
+	testprog.Until(t, "the statement to be out", func() bool {
+		d.prog.Signal(syscall.SIGUSR1)
+		return strings.Contains(d.prog.Log(), `"Queries":1,"Kills":0`) || strings.Contains(d.prog.Log(), `"open":1`)
+	})
+	cancel()
+	if err := <-done; !errors.Is(err, context.Canceled) {
+		t.Errorf("error %v", err)
+	}
+	testprog.Until(t, "the kill", func() bool { _, kills := d.engines[0].Told(); return kills == 1 })
+}
+
+// With no engine in reach every attempt provably never ran: the answer is a
+// refusal that tells when to come back, or a failure, never "may have run".
+func TestNothingRan(t *testing.T) {
+	dead := testprog.FreeAddr(t)
+	d := deploy(t, 1, func(c *mysql.Config) { c.Engines[0].Address = dead })
+	_, err := d.db.Exec("/* dewhill: deadline=400 */ INSERT INTO trips_1.t VALUES (?)", 1)
+	d.wantCode(err, 1226, "53300")
+	if err == nil || !strings.Contains(err.Error(), "nothing ran: try again in ") {
+		t.Errorf("error %v names no wait", err)
+	}
+}
+
+// A retry with a known id gets the outcome of the run, whatever it was.
+func TestKnownID(t *testing.T) {
+	d := deploy(t, 2, func(c *mysql.Config) { c.Limits.KnownIDs = 3 })
+	exec := func(id, table string) error {
+		_, err := d.db.Exec("/* dewhill: id="+id+" */ INSERT INTO trips_1."+table+" VALUES (?)", 1)
+		return err
+	}
+	for range 3 {
+		if err := exec("up-1", "a"); err != nil {
+			t.Error(err)
+		}
+	}
+	d.wantRan("/* dewhill: id=up-1", 1)
+	d.set(once("execute", "/* dewhill: id=up-2", "run-die"))
+	for range 2 {
+		d.wantCode(exec("up-2", "a"), 1180, "08007")
+	}
+	d.wantRan("/* dewhill: id=up-2", 1)
+	d.wantCode(exec("up-1", "other"), 1231, "42000")
+	// The store is bounded: the oldest is forgotten, and would run again.
+	for i := range 3 {
+		if err := exec(fmt.Sprintf("more-%d", i), "a"); err != nil {
+			t.Error(err)
+		}
+	}
+	if err := exec("up-1", "a"); err != nil {
+		t.Error(err)
+	}
+	d.wantRan("/* dewhill: id=up-1", 2)
+}
+
+// Tries of one load at the same time, on many connections, run it once.
+func TestKnownIDAtOnce(t *testing.T) {
+	d := deploy(t, 2, nil)
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if _, err := d.db.Exec("/* dewhill: id=same */ INSERT INTO trips_1.t VALUES (?)", 1); err != nil {
+				t.Error(err)
+			}
+		}()
+	}
+	wg.Wait()
+	d.wantRan("/* dewhill: id=same", 1)
+}
+
+// What a shared connection can't give is an error, never silence; and a hint
+// can't make a write repeatable.
+func TestNotServed(t *testing.T) {
+	d := deploy(t, 1, nil)
+	for _, q := range []string{"BEGIN", "START TRANSACTION", "COMMIT", "SET @a = 1", "SELECT @a", "SELECT LAST_INSERT_ID()",
+		"LOCK TABLES t READ", "SELECT 1; SELECT 2", "LOAD DATA LOCAL INFILE 'x' INTO TABLE t", "CREATE TEMPORARY TABLE t (a INT)",
+		"SET autocommit=0", "USE other"} {
+		_, err := d.db.Exec(q)
+		d.wantCode(err, 1235, "42000")
+	}
+	for _, q := range []string{"SET autocommit = 1", "SET NAMES utf8mb4"} {
+		if _, err := d.db.Exec(q); err != nil {
+			t.Errorf("%s: %v", q, err)
+		}
+	}
+	_, err := d.db.Exec("/* dewhill: class=lookup */ DELETE FROM trips_1.t")
+	d.wantCode(err, 1231, "42000")
+	_, err = d.db.Exec("SELECT broken FROM t")
+	if err != nil {
+		t.Error(err)
+	}
+	d.set(func(string, string) string { return "error 1146" })
+	_, err = d.db.Exec("SELECT a FROM gone")
+	d.wantCode(err, 1146, "HY000")
+	if d.ran("BEGIN")+d.ran("DELETE")+d.ran("SET") != 0 {
+		t.Error("an engine ran what is not served")
+	}
+	db, _ := sql.Open("mysql", "app:wrong@tcp("+d.cfg.Listen+")/trips")
+	defer db.Close()
+	d.wantCode(db.Ping(), 1045, "28000")
+}
+
+// Loads of one key run one at a time, in the order in which they came.
+func TestKeyedLoads(t *testing.T) {
+	d := deploy(t, 2, func(c *mysql.Config) {
+		c.Rules = []mysql.Rule{{Verbs: []string{"insert"}, Class: "load", Key: "table", CostMs: 5}}
+	})
+	var mu sync.Mutex
+	running, most := 0, 0
+	var order []string
+	d.set(func(step, q string) string {
+		if step == "query" {
+			mu.Lock()
+			running++
+			most = max(most, running)
+			order = append(order, q)
+			mu.Unlock()
+			time.Sleep(5 * time.Millisecond)
+			mu.Lock()
+			running--
+			mu.Unlock()
+		}
+		return ""
+	})
+	var wg sync.WaitGroup
+	var want []string
+	for i := range 6 {
+		q := fmt.Sprintf("INSERT INTO trips_1.t VALUES (%d)", i)
+		want = append(want, q)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if _, err := d.db.Exec(q); err != nil {
+				t.Error(err)
+			}
+		}()
+		testprog.Until(t, "the load to be taken", func() bool {
+			d.prog.Signal(syscall.SIGUSR1)
+			return strings.Contains(d.prog.Log(), fmt.Sprintf(`"Queries":%d,`, i+1))
+		})
+	}
+	wg.Wait()
+	if most != 1 || strings.Join(order, "|") != strings.Join(want, "|") {
+		t.Errorf("%d at once, in the order %q", most, order)
+	}
+}
+
+// Garbage from a client ends its connection and nothing else.
+func TestGarbage(t *testing.T) {
+	d := deploy(t, 1, nil)
+	for _, g := range []string{"GET / HTTP/1.1\r\n\r\n", "\xff\xff\xff\x01", "\x04\x00\x00\x01abcd", "\x00\x00\x00\x01"} {
+		c, err := net.Dial("tcp", d.cfg.Listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Write([]byte(g))
+		c.SetReadDeadline(time.Now().Add(testprog.Patience))
+		var buf bytes.Buffer
+		if _, err := buf.ReadFrom(c); err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%q: the connection stays open", g)
+		}
+		c.Close()
+	}
+	if err := d.db.Ping(); err != nil {
+		t.Error(err)
+	}
+}
+
+// A bad file ends the program with one clear line.
+func TestBadFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "mysql.json")
+	for text, want := range map[string]string{
+		`{"on":true,"listn":"x"}`: "listn",
+		`{"on":true,"listen":"127.0.0.1:0","accounts":[{}],"engines":[{"id":"a","address":"nowhere"}]}`: "engine a",
+		`{"on":false}`: "nothing to serve",
+		`{`:            "unexpected",
+	} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		p := testprog.Start(t, []string{"PROXY_CONFIG="}, "-mysql", path)
+		if c := p.Wait(); c == 0 || strings.Count(p.Log(), "\n") != 1 || !strings.Contains(p.Log(), want) {
+			t.Errorf("%s: exit %d, log %q", text, c, p.Log())
+		}
+	}
+}
+
+// The program starts on what the importer writes, and serves.
+func TestImportedFile(t *testing.T) {
+	e := mysql.NewStandIn(t, "db1")
+	e.Password = ""
+	listen := testprog.FreeAddr(t)
+	dir := t.TempDir()
+	in, out := filepath.Join(dir, "haproxy.cfg"), filepath.Join(dir, "mysql.json")
+	text := fmt.Sprintf("defaults\n  mode tcp\n  timeout server 20s\n  timeout connect 5s\nfrontend f\n  bind %s\n"+
+		"  default_backend b\nbackend b\n  option mysql-check user gate\n  server db1 %s check weight 5 maxconn 4\n", listen, e.Addr)
+	if err := os.WriteFile(in, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var file, report bytes.Buffer
+	if err := haproxy.Run(in, &file, &report); err != nil {
+		t.Fatalf("%v: %s", err, report.String())
+	}
+	if err := os.WriteFile(out, file.Bytes(), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	testprog.Start(t, []string{"PROXY_CONFIG="}, "-mysql", out)
+	db := open(t, "gate:@tcp("+listen+")/")
+	if _, err := db.Exec("INSERT INTO a_1.t VALUES (?)", 1); err != nil || e.Ran("INSERT") != 1 {
+		t.Errorf("ran %d times: %v", e.Ran("INSERT"), err)
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -98,6 +98,9 @@
 // Now is the loop's clock, in Unix milliseconds.
 func (l *Loop) Now() float64 { return l.now() }
 
+// Open is how many requests owe an answer.
+func (l *Loop) Open() int { return l.core.Open() }
+
 // After calls f in the loop after a time.
 func (l *Loop) After(ms float64, f func()) {
 	time.AfterFunc(time.Duration(ms*float64(time.Millisecond)), func() { l.Post(f) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -49,12 +50,95 @@
 	drains int
 }
 
-// Run serves as a platform front end until SIGTERM and the last answer.
-func Run(cfg *Config) error {
-	fit(cfg.Limits.Cores, cfg.Limits.MemoryMB)
+// service is a front with its loop and its listener.
+type service struct {
+	loop    *Loop
+	listen  net.Listener
+	accept  func(net.Listener)
+	leave   func()
+	idle    func() bool
+	reload  func()
+	leaveAt time.Time // the loop's: not before it the service ends
+}
+
+// Run serves until SIGTERM and the last answer: as a platform front end if cfg
+// is there, as a MySQL front if my is, or as both.
+func Run(cfg *Config, my *MySQL) error {
+	var all []*service
+	if cfg != nil {
+		fit(cfg.Limits.Cores, cfg.Limits.MemoryMB)
+		s, err := newNode(cfg)
+		if err != nil {
+			return err
+		}
+		all = append(all, s)
+	}
+	if my != nil {
+		s, err := newMySQL(my)
+		if err != nil {
+			return err
+		}
+		all = append(all, s)
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	go func() {
+		for sig := range signals {
+			for _, s := range all {
+				s.loop.Post(func() { s.signalled(sig) })
+			}
+		}
+	}()
+	var ends sync.WaitGroup
+	for _, s := range all {
+		ends.Add(1)
+		go func() {
+			defer ends.Done()
+			s.run()
+		}()
+	}
+	ends.Wait()
+	return nil
+}
+
+func (s *service) signalled(sig os.Signal) {
+	switch {
+	case sig == syscall.SIGUSR1:
+		s.loop.Logf("counters: %s", s.loop.Report())
+	case sig == syscall.SIGHUP:
+		if s.reload != nil {
+			s.reload()
+		}
+	case s.leaveAt.IsZero():
+		s.loop.Logf("%v: finishing what is taken", sig)
+		s.leaveAt = time.Now().Add(acceptFor)
+		s.leave()
+		time.AfterFunc(acceptFor, func() {
+			s.listen.Close()
+			s.loop.Post(func() {})
+		})
+	}
+}
+
+func (s *service) run() {
+	go s.accept(s.listen)
+	s.loop.Logf("listens on %s", s.listen.Addr())
+	s.loop.run(func() bool {
+		return !s.leaveAt.IsZero() && time.Now().After(s.leaveAt) && s.loop.core.Open() == 0 && s.idle()
+	})
+	// What is posted from here on belongs to connections that end with the program.
+	go func() {
+		for range s.loop.in {
+		}
+	}()
+	time.Sleep(lastAnswer)
+	s.loop.Logf("counters: %s", s.loop.Report())
+}
+
+func newNode(cfg *Config) (*service, error) {
 	s, err := cfg.Settings.Control()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	// Clients hold a third of the descriptors, and a connection each for every
 	// open request.
@@ -79,18 +163,25 @@
 	n.loop.report = n.report
 	l, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if cfg.PeerListen != "" && s.MayTell {
 		if n.link, err = peer.Open(cfg.PeerListen, cfg.Peers, cfg.PeersAll, s.Self); err != nil {
-			return fmt.Errorf("peers: %v", err)
+			return nil, fmt.Errorf("peers: %v", err)
 		}
 		n.loop.tell = n.tell
 		go n.link.Receive(func(from int, msg []byte) {
 			n.loop.Post(func() { n.count.Heard++; n.loop.apply(core.Heard{Peer: from, Message: msg}) })
 		}, func() { n.loop.Post(func() { n.count.Strange++ }) })
 	}
-	return n.serve(l)
+	n.notices(&cfg.Known)
+	if cfg.Board != "" {
+		go board.Follow(cfg.Board, cfg.Known.Rev, func(ns *board.Notices) { n.loop.Post(func() { n.notices(ns) }) },
+			func(err error) {
+				n.loop.Post(func() { n.count.BoardTroubles++; n.loop.Logf("notice board: %v", err) })
+			})
+	}
+	return &service{loop: n.loop, listen: l, accept: n.front.Serve, leave: n.front.Leave, idle: n.front.Idle}, nil
 }
 
 func ms(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
@@ -102,44 +193,6 @@
 	return other
 }
 
-func (n *Node) serve(l net.Listener) error {
-	n.notices(&n.cfg.Known)
-	if n.cfg.Board != "" {
-		go board.Follow(n.cfg.Board, n.cfg.Known.Rev, func(ns *board.Notices) { n.loop.Post(func() { n.notices(ns) }) },
-			func(err error) {
-				n.loop.Post(func() { n.count.BoardTroubles++; n.loop.Logf("notice board: %v", err) })
-			})
-	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	var leaveAt time.Time
-	go func() {
-		for s := range signals {
-			n.loop.Post(func() {
-				if s == syscall.SIGUSR1 {
-					n.loop.Logf("counters: %s", n.loop.Report())
-				} else if leaveAt.IsZero() {
-					n.loop.Logf("%v: finishing what is taken", s)
-					leaveAt = time.Now().Add(acceptFor)
-					n.front.Leave()
-					time.AfterFunc(acceptFor, func() {
-						l.Close()
-						n.loop.Post(func() {})
-					})
-				}
-			})
-		}
-	}()
-	go n.front.Serve(l)
-	n.loop.Logf("listens on %s", n.cfg.Listen)
-	n.loop.run(func() bool {
-		return !leaveAt.IsZero() && time.Now().After(leaveAt) && n.loop.core.Open() == 0 && n.front.Idle()
-	})
-	time.Sleep(lastAnswer)
-	n.loop.Logf("counters: %s", n.loop.Report())
-	return nil
-}
-
 func (n *Node) tell(msg []byte) {
 	n.count.Told++
 	if err := n.link.Send(msg); err != nil {
--- /dev/null
+++ b/internal/testprog/race.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package testprog
+
+const raceOn = true
--- /dev/null
+++ b/internal/testprog/testprog.go
@@ -0,0 +1,133 @@
+// Package testprog builds and starts the program for tests.
+package testprog
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Patience bounds every wait of a test. It is long: it ends a test that would
+// hang, and decides nothing else.
+const Patience = 60 * time.Second
+
+var build = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "dewhill-test-")
+	if err != nil {
+		return "", err
+	}
+	bin := filepath.Join(dir, "dewhill")
+	args := []string{"build", "-o", bin}
+	if raceOn {
+		args = append(args, "-race")
+	}
+	out, err := exec.Command("go", append(args, "dewhill/cmd/dewhill")...).CombinedOutput()
+	if err != nil {
+		os.Stderr.Write(out)
+	}
+	return bin, err
+})
+
+// Program is the program, started.
+type Program struct {
+	t   testing.TB
+	cmd *exec.Cmd
+	end chan error
+	mu  sync.Mutex
+	log bytes.Buffer
+}
+
+// Write takes in what the program logs.
+func (p *Program) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.Write(b)
+}
+
+// Log is what the program has logged so far.
+func (p *Program) Log() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+// Start starts the program with further environment and arguments.
+func Start(t testing.TB, env []string, args ...string) *Program {
+	t.Helper()
+	bin, err := build()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &Program{t: t, cmd: exec.Command(bin, args...), end: make(chan error, 1)}
+	p.cmd.Env = append(os.Environ(), env...)
+	p.cmd.Stdout, p.cmd.Stderr = p, p
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { p.end <- p.cmd.Wait() }()
+	t.Cleanup(func() {
+		p.cmd.Process.Kill()
+		if t.Failed() {
+			t.Logf("the program's log:\n%s", p.Log())
+		}
+	})
+	return p
+}
+
+// Signal sends the program a signal.
+func (p *Program) Signal(s syscall.Signal) { p.cmd.Process.Signal(s) }
+
+// Wait waits for the program's end and returns its exit code.
+func (p *Program) Wait() int {
+	p.t.Helper()
+	select {
+	case <-p.end:
+	case <-time.After(Patience):
+		p.t.Fatalf("the program does not end")
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// Stop ends the program by SIGTERM and returns the counters that it prints.
+func (p *Program) Stop() map[string]any {
+	p.t.Helper()
+	p.Signal(syscall.SIGTERM)
+	if code := p.Wait(); code != 0 {
+		p.t.Fatalf("the program ended with %d after SIGTERM", code)
+	}
+	_, text, ok := strings.Cut(p.Log()[strings.LastIndex(p.Log(), "counters: "):], "counters: ")
+	var all map[string]any
+	if err := json.Unmarshal([]byte(text), &all); !ok || err != nil {
+		p.t.Fatalf("no counters at the end: %v", err)
+	}
+	return all
+}
+
+// Until waits until a condition holds.
+func Until(t testing.TB, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(Patience); !holds(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never came: %s", what)
+		}
+	}
+}
+
+// FreeAddr returns a loopback address that nothing listens on.
+func FreeAddr(t testing.TB) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
