MySQL tests: one engine has the handle before the drain; no race in the stand-in

Seen: the race detector on TestImportedFile (the test wrote the stand-in's password while its accept loop ran), and TestHandleOutlivesItsEngine failing when the two first executes had gone to different engines.

--- a/internal/mysql/program_test.go
+++ b/internal/mysql/program_test.go
@@ -50,7 +50,7 @@
 		t.Fatal(err)
 	}
 	for i := range engines {
-		e := mysql.NewStandIn(t, fmt.Sprintf("e%d", i))
+		e := mysql.NewStandIn(t, fmt.Sprintf("e%d", i), "inner")
 		d.engines = append(d.engines, e)
 		d.cfg.Engines = append(d.cfg.Engines, mysql.Engine{ID: e.ID, Address: e.Addr, Kind: "std-8", User: "gate", Password: "inner"})
 	}
@@ -233,8 +233,7 @@
 		runs++
 		d.wantRan("INSERT", runs)
 	}
-	exec()
-	exec()
+	exec() // one engine has the handle now, the other none
 	first, other := d.engines[0], d.engines[1]
 	if first.Ran("INSERT") == 0 {
 		first, other = other, first
@@ -249,15 +248,14 @@
 	d.prog.Signal(syscall.SIGHUP)
 	testprog.Until(t, "the list to be read", func() bool { return strings.Contains(d.prog.Log(), "engines read") })
 	before := first.Ran("INSERT")
-	prepares, _ := other.Told()
 	for range 3 {
 		exec()
 	}
 	if first.Ran("INSERT") != before {
 		t.Errorf("the engine that drains ran %d more", first.Ran("INSERT")-before)
 	}
-	if p, _ := other.Told(); p == prepares {
-		t.Error("nothing was prepared on the other engine")
+	if p, _ := other.Told(); p != 1 {
+		t.Errorf("%d handles were prepared on the other engine, want 1", p)
 	}
 }
 
@@ -493,8 +491,7 @@
 
 // The program starts on what the importer writes, and serves.
 func TestImportedFile(t *testing.T) {
-	e := mysql.NewStandIn(t, "db1")
-	e.Password = ""
+	e := mysql.NewStandIn(t, "db1", "")
 	listen := testprog.FreeAddr(t)
 	dir := t.TempDir()
 	in, out := filepath.Join(dir, "haproxy.cfg"), filepath.Join(dir, "mysql.json")
--- a/internal/mysql/standin_test.go
+++ b/internal/mysql/standin_test.go
@@ -14,7 +14,7 @@
 type StandIn struct {
 	ID       string
 	Addr     string
-	Password string
+	password string
 	l        net.Listener
 
 	mu       sync.Mutex
@@ -39,12 +39,12 @@
 }
 
 // NewStandIn starts an engine on a free loopback port.
-func NewStandIn(t testing.TB, id string) *StandIn {
+func NewStandIn(t testing.TB, id, password string) *StandIn {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	e := &StandIn{ID: id, Addr: l.Addr().String(), Password: "inner", l: l, ran: map[string]int{},
+	e := &StandIn{ID: id, Addr: l.Addr().String(), password: password, l: l, ran: map[string]int{},
 		sessions: map[uint32]*standSession{}}
 	t.Cleanup(func() { l.Close() })
 	go func() {
@@ -106,7 +106,7 @@
 		delete(e.sessions, s.id)
 		e.mu.Unlock()
 	}()
-	f := &Front{accounts: []Account{{User: "gate", Password: e.Password}}}
+	f := &Front{accounts: []Account{{User: "gate", Password: e.password}}}
 	if _, err := f.welcome(s.w, s.id); err != nil {
 		if bad, ok := err.(*Error); ok {
 			s.w.put(bad.packet())
