--- a/control/control.go
+++ b/control/control.go
@@ -62,6 +62,7 @@
 	openFull     = 0.97   // and above which that does not wait for the next sweep
 	lindy        = 0.5    // part of its delay so far that an attempt out too long is given to go on
 	leftLeast    = 0.2    // part of its expected time that an attempt has left at the least
+	advice       = 100.0  // ms that a refused client is told to stay away: sweeps find room well within it
 	rateHalf     = 5000.0 // ms over which the demand told to peers is averaged
 )
 
@@ -975,5 +976,9 @@
 	if r.mayHaveRun() && (r.cl.Effect == Unsafe || (r.cl.Effect == Keyed && r.cl.Group != AllEngines)) {
 		kind = Fail
 	}
-	g.act(Action{Kind: kind, Req: r.id})
+	wait := 0.0
+	if kind == Refuse && g.s.Advice {
+		wait = min(g.s.MaxAdvice, advice)
+	}
+	g.act(Action{Kind: kind, Req: r.id, Wait: wait})
 }
--- /dev/null
+++ b/internal/node/standin_test.go
@@ -0,0 +1,217 @@
+package node_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/textproto"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dewhill/internal/testprog"
+)
+
+// engine is a stand-in for an engine of the platform: it counts what it is sent
+// and answers as it is told.
+type engine struct {
+	id, addr string
+	l        net.Listener
+	mu       sync.Mutex
+	pulls    []string // "id class priority statement"
+	kills    []string
+	conns    []net.Conn
+	// on answers a PULL: it returns what to write, or "die" to reset.
+	on func(id, statement string) string
+}
+
+func newEngine(t *testing.T, id string, on func(id, statement string) string) *engine {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &engine{id: id, addr: l.Addr().String(), l: l, on: on}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			e.mu.Lock()
+			e.conns = append(e.conns, c)
+			e.mu.Unlock()
+			go e.serve(c)
+		}
+	}()
+	return e
+}
+
+func (e *engine) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		w := strings.Fields(line)
+		var answer string
+		switch w[0] {
+		case "PULL":
+			n, _ := strconv.Atoi(w[3])
+			body := make([]byte, n+2)
+			if _, err := io.ReadFull(r, body); err != nil {
+				return
+			}
+			e.mu.Lock()
+			e.pulls = append(e.pulls, w[1]+" "+w[2]+" "+string(body[:n]))
+			e.mu.Unlock()
+			answer = e.on(w[1], string(body[:n]))
+		case "SCROLL":
+			answer = e.on(w[1], "page "+w[2])
+		case "KILL":
+			e.mu.Lock()
+			e.kills = append(e.kills, w[1])
+			e.mu.Unlock()
+		}
+		if answer == "die" {
+			c.(*net.TCPConn).SetLinger(0)
+			return
+		}
+		io.WriteString(c, answer)
+	}
+}
+
+func (e *engine) count() (pulls, kills int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.pulls), len(e.kills)
+}
+
+func ack(id, fields, body string) string {
+	return fmt.Sprintf("%s ACK %s %d\r\n%s\r\n", id, fields, len(body), body)
+}
+
+// front is the program as a platform front end.
+type front struct {
+	t    *testing.T
+	addr string
+	prog *testprog.Program
+}
+
+const settings = `{"categories":[
+	{"name":"lookup","aimMs":1000,"hardLimitMs":20000,"value":1,"effect":"pure"},
+	{"name":"load","aimMs":3000,"hardLimitMs":20000,"value":6,"effect":"side_effect","sequential":true}],
+	"hostTypes":["std-8"],"localities":["here"],"discovery":"push","replicasOfMe":2,"tickMs":5,
+	"domain":{"coresByKind":[8],"memoryByKindMb":[16384],"dop":[1,2],"classLoad":[false,true],"blockedByLoads":[true,false],
+	"takesPriority":true,"tellsCost":true},"reporting":{"via":"answers","fields":["rif","busy"]},
+	"contract":{"graceToAnswerMs":20,"stopSendingWithinMs":500},
+	"limits":{"cancel":true,"retryAfter":true,"maxRetryAfterMs":500,"tryLimit":5,"connectTimeoutMs":2000,"connIdleMs":15000,
+	"streamsPerConn":32,"mayTell":true}}`
+
+func hosts(engines ...*engine) string {
+	var list []string
+	for _, e := range engines {
+		list = append(list, fmt.Sprintf(`{"host":%q,"dial":%q,"site":"here","class":"std-8","health":"active","share":1}`, e.id, e.addr))
+	}
+	return strings.Join(list, ",")
+}
+
+func start(t *testing.T, board string, sockets int, engines ...*engine) *front {
+	t.Helper()
+	f := &front{t: t, addr: testprog.FreeAddr(t)}
+	cfg := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":%d},
+		"peer_listen":%q,"peers":["127.0.0.1:1","127.0.0.1:2"],"board":%q,
+		"known":{"rev":1,"notices":[{"rev":1,"pool":{"seq":1,"whole":true,"hosts":[%s]}}]},"settings":%s}`,
+		f.addr, sockets, testprog.FreeAddr(t), board, hosts(engines...), settings)
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(cfg), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f.prog = testprog.Start(t, []string{"PROXY_CONFIG=" + path, "PROXY_NAME=", "PROXY_LISTEN="})
+	testprog.Until(t, "the front end to be healthy", func() bool {
+		c, err := net.Dial("tcp", f.addr)
+		if err != nil {
+			return false
+		}
+		defer c.Close()
+		io.WriteString(c, "GET /-/healthy HTTP/1.1\r\nHost: x\r\n\r\n")
+		status, _, _ := read(bufio.NewReader(c))
+		return status == 200
+	})
+	return f
+}
+
+// client is a client's connection.
+type client struct {
+	t *testing.T
+	c net.Conn
+	r *bufio.Reader
+}
+
+func (f *front) dial() *client {
+	f.t.Helper()
+	c, err := net.Dial("tcp", f.addr)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(testprog.Patience))
+	return &client{f.t, c, bufio.NewReader(c)}
+}
+
+func post(class, id, fields, statement string) string {
+	return fmt.Sprintf("POST /api/v2/%s HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", class, id, fields,
+		len(statement), statement)
+}
+
+const wait = "Req-Wait-Ms: 15000\r\nReq-Cost: 20\r\n"
+
+type answer struct {
+	Poll string     `json:"poll"`
+	Page [][]string `json:"page"`
+	Err  string     `json:"err"`
+}
+
+func read(r *bufio.Reader) (status int, h textproto.MIMEHeader, body []byte) {
+	tp := textproto.NewReader(r)
+	line, err := tp.ReadLine()
+	if err != nil {
+		return 0, nil, nil
+	}
+	fmt.Sscanf(line, "HTTP/1.1 %d", &status)
+	if h, err = tp.ReadMIMEHeader(); err != nil {
+		return 0, nil, nil
+	}
+	n, _ := strconv.Atoi(h.Get("Content-Length"))
+	body = make([]byte, n)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return 0, nil, nil
+	}
+	return status, h, body
+}
+
+// do writes a message and reads its answer; status 0: the connection ended.
+func (c *client) do(message string) (int, textproto.MIMEHeader, answer) {
+	c.t.Helper()
+	if _, err := io.WriteString(c.c, message); err != nil {
+		return 0, nil, answer{}
+	}
+	return c.get()
+}
+
+func (c *client) get() (int, textproto.MIMEHeader, answer) {
+	status, h, body := read(c.r)
+	var a answer
+	json.Unmarshal(body, &a)
+	return status, h, a
+}
+
+func id(k int) string { return fmt.Sprintf("%016x", k) }
--- a/internal/testprog/testprog.go
+++ b/internal/testprog/testprog.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net"
 	"os"
 	"os/exec"
@@ -19,6 +20,9 @@
 // hang, and decides nothing else.
 const Patience = 60 * time.Second
 
+// Descriptors limits those of programs started from then on, where above 0.
+var Descriptors = 0
+
 var build = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "dewhill-test-")
 	if err != nil {
@@ -67,6 +71,10 @@
 		t.Fatal(err)
 	}
 	p := &Program{t: t, cmd: exec.Command(bin, args...), end: make(chan error, 1)}
+	if Descriptors > 0 {
+		sh := []string{"-c", fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, Descriptors), bin}
+		p.cmd = exec.Command("/bin/sh", append(sh, args...)...)
+	}
 	p.cmd.Env = append(os.Environ(), env...)
 	p.cmd.Stdout, p.cmd.Stderr = p, p
 	if err := p.cmd.Start(); err != nil {
