--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,149 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"dewhill/control"
+	_ "dewhill/internal/testprog" // fixes the seed
+)
+
+var settings = control.Settings{Gateways: 1, Tick: 5, TryLimit: 5, MayCancel: true, Advice: true, MaxAdvice: 500, DrainGrace: 500,
+	Priorities: true, Kinds: []control.Kind{{Cores: 8}}, Classes: []control.Class{
+		{Aim: 300, AimStretch: 2, Deadline: 2000, Worth: 1, Threads: 1},
+		{Aim: 300, AimStretch: 2, Deadline: 3000, Worth: 6, Threads: 2, Effect: control.Unsafe, InOrder: true, Load: true}}}
+
+// world carries out effects and checks what must hold whatever happens.
+type world struct {
+	t       *rapid.T
+	c       *Core
+	now     float64
+	out     map[string]Start // attempts out, by request
+	stopped map[string]bool
+	ran     map[string]bool // may have run
+	answers map[string]Outcome
+	reqs    map[string]Request
+}
+
+func (w *world) apply(ev Event) {
+	for _, e := range append([]Effect(nil), w.c.Apply(w.now, ev)...) {
+		switch e := e.(type) {
+		case Start:
+			r := w.reqs[e.ID]
+			_, over := w.answers[e.ID]
+			_, out := w.out[e.ID]
+			if over || out || e.Until > r.GiveUpAt || w.now >= r.GiveUpAt {
+				w.t.Fatalf("%+v at %v: over %v, out %v", e, w.now, over, out)
+			}
+			if r.Class == 1 && w.ran[e.ID] {
+				w.t.Fatalf("a load that may have run is sent again: %+v", e)
+			}
+			w.out[e.ID], w.ran[e.ID] = e, true
+		case Stop:
+			if w.out[e.ID].Attempt != e.Attempt || w.stopped[e.ID] {
+				w.t.Fatalf("stopped what is not out: %+v", e)
+			}
+			w.stopped[e.ID] = true
+		case Answer:
+			if _, twice := w.answers[e.ID]; twice {
+				w.t.Fatalf("a second answer: %+v", e)
+			}
+			if e.Outcome == Refused && w.ran[e.ID] {
+				w.t.Fatalf("refused though it may have run: %+v", e)
+			}
+			w.answers[e.ID] = e.Outcome
+		}
+	}
+}
+
+func (w *world) end(id string, res control.Result) {
+	s, ok := w.out[id]
+	if !ok {
+		return
+	}
+	delete(w.out, id)
+	delete(w.stopped, id)
+	if res == control.TurnedAway || res == control.ConnectFailed {
+		w.ran[id] = false
+	}
+	w.apply(AttemptEnded{ID: id, Attempt: s.Attempt, Result: res})
+}
+
+// Whatever happens in whatever order: one answer each, in time, no refusal of
+// what may have run, one attempt out at a time, no second run of a load.
+func TestAnythingHappens(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{t: t, c: New(settings, 1), out: map[string]Start{}, stopped: map[string]bool{}, ran: map[string]bool{},
+			answers: map[string]Outcome{}, reqs: map[string]Request{}}
+		w.apply(EngineList{Whole: true, Engines: []control.EngineInfo{{ID: "a"}, {ID: "b"}, {ID: "c"}}})
+		results := []control.Result{control.Served, control.Errored, control.TurnedAway, control.ConnectFailed, control.Reset,
+			control.Cancelled}
+		n := 0
+		gone := map[string]bool{}
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			w.now += float64(rapid.IntRange(0, 200).Draw(t, "ms"))
+			for w.c.Next() <= w.now {
+				w.apply(Woke{})
+			}
+			some := fmt.Sprint(rapid.IntRange(0, max(0, n-1)).Draw(t, "request"))
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				r := Request{ID: fmt.Sprint(n), Class: rapid.IntRange(0, 1).Draw(t, "class"), At: w.now,
+					GiveUpAt: w.now + float64(rapid.IntRange(1, 2000).Draw(t, "wait")), Work: 50,
+					Key: rapid.SampledFrom([]string{"", "k"}).Draw(t, "key")}
+				w.reqs[r.ID] = r
+				n++
+				w.apply(Arrived{r})
+			case 2:
+				w.end(some, rapid.SampledFrom(results).Draw(t, "result"))
+			case 3:
+				if _, ok := w.answers[some]; !ok && n > 0 {
+					gone[some] = true
+					w.apply(Abandoned{some})
+				}
+			case 4:
+				w.apply(EngineList{Engines: []control.EngineInfo{{ID: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "engine"),
+					Draining: rapid.Bool().Draw(t, "drains")}}})
+			}
+		}
+		for range 200 {
+			w.now += 25
+			for w.c.Next() <= w.now {
+				w.apply(Woke{})
+			}
+			for id := range w.stopped {
+				w.end(id, control.Cancelled)
+				break
+			}
+		}
+		for id, r := range w.reqs {
+			if _, ok := w.answers[id]; !ok && !gone[id] {
+				t.Fatalf("request %s has no answer at %v: %+v", id, w.now, r)
+			}
+		}
+		if w.c.Open() != 0 {
+			t.Fatalf("%d requests are open", w.c.Open())
+		}
+	})
+}
+
+// A request whose attempt is silent is answered by its deadline, and the
+// attempt given up; a refusal that the decisions ask for becomes a failure.
+func TestDeadline(t *testing.T) {
+	c := New(settings, 1)
+	c.Apply(0, EngineList{Whole: true, Engines: []control.EngineInfo{{ID: "a"}}})
+	c.Apply(1, Arrived{Request{ID: "x", GiveUpAt: 500, Work: 10}})
+	for now := 2.0; now <= 500; now++ {
+		for _, e := range c.Apply(now, Woke{}) {
+			if a, ok := e.(Answer); ok {
+				if a.Outcome != Failed || !a.MayRun || !a.Late {
+					t.Errorf("at %v: %+v", now, a)
+				}
+				return
+			}
+		}
+	}
+	t.Error("no answer by the deadline")
+}
--- /dev/null
+++ b/internal/engine/message_test.go
@@ -0,0 +1,50 @@
+package engine
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"dewhill/internal/lines"
+	"dewhill/internal/testprog"
+)
+
+// Answers read the same however they are cut.
+func TestRepliesInPieces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all strings.Builder
+		bodies := rapid.SliceOfN(rapid.StringN(0, 300, 6000), 1, 4).Draw(t, "bodies")
+		for i, b := range bodies {
+			fmt.Fprintf(&all, "%d ACK batches=%d,load=inflight:7;util:0.61 %d\r\n%s\r\n", i, i+1, len(b), b)
+		}
+		in := lines.New(testprog.Cut(t, []byte(all.String())), mostLine)
+		for i, b := range bodies {
+			r, err := readReply(in)
+			if err != nil || string(r.body) != b || r.id != fmt.Sprint(i) || r.number("batches") != float64(i+1) {
+				t.Fatalf("answer %d: %+v, %v", i, r, err)
+			}
+			if rep := r.report(); rep.InFlight != 7 || rep.Busy != 0.61 || rep.Disks != -1 {
+				t.Fatalf("report %+v", rep)
+			}
+		}
+	})
+}
+
+// Garbage ends in an error, never in a panic, an endless wait or a long body.
+func TestGarbledReplies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := lines.New(testprog.Cut(t, testprog.Garbled(t, "aa ACK batches=2,cpu=NaN,load=x:y;util:-1 3\r\na\tb\r\n",
+			"aa BLOCK batch=1 0\r\n\r\n", "t1 READY load= 0\r\n\r\n")), mostLine)
+		for range 5 {
+			r, err := readReply(in)
+			if err != nil {
+				return
+			}
+			if rep := r.report(); rep != nil && rep.Busy != rep.Busy || r.number("cpu") < 0 || len(r.body) > mostPage {
+				t.Fatalf("%+v", r)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/haproxy/import_test.go
@@ -0,0 +1,96 @@
+package haproxy
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"dewhill/internal/testprog"
+)
+
+const good = `global
+  maxconn 300
+  log /dev/log local0   # a note
+defaults
+  mode tcp
+  timeout connect 3s
+  timeout server 20s
+  retries 2
+frontend db
+  bind *:3306
+  default_backend engines
+backend engines
+  balance leastconn
+  option mysql-check user probe
+  default-server check weight 10
+  server a 10.0.0.1:3306
+  server b 10.0.0.2:3306 weight 20 maxconn 40
+  server c 10.0.0.3:3306 disabled
+backend spare
+  server x 10.0.0.9:3306
+`
+
+func fatal(list []Finding) (out []Finding) {
+	for _, f := range list {
+		if f.Fatal {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+func TestImport(t *testing.T) {
+	c, found, err := Import(strings.NewReader(good))
+	if err != nil || len(fatal(found)) != 0 {
+		t.Fatalf("%v %v", found, err)
+	}
+	if err := c.Check(); err != nil {
+		t.Fatal(err)
+	}
+	if c.Listen != ":3306" || c.Limits.Connections != 300 || c.Limits.PerEngine != 40 || len(c.Engines) != 3 ||
+		c.Engines[0].Share != 10 || c.Engines[1].Share != 20 || c.Engines[2].State != "leaving" || c.Accounts[0].User != "probe" ||
+		c.Settings.Categories[1].HardLimitMs != 20000 || c.Settings.Limits.ConnectTimeoutMs != 3000 || c.Settings.Limits.TryLimit != 3 {
+		t.Errorf("%+v", c)
+	}
+	for _, want := range []string{"line 3: note: log", "line 13: note: balance", "line 19: note: backend \"spare\""} {
+		if !strings.Contains(fmt.Sprint(found), want) {
+			t.Errorf("%q is not among %v", want, found)
+		}
+	}
+}
+
+// What would change behaviour is an error with its line, and nothing is written.
+func TestNotCarriedOver(t *testing.T) {
+	for line, want := range map[string]string{
+		"  server d 10.0.0.4:3306 backup": "backup", "  server d 10.0.0.4:3306 ssl": "ssl", "  mode http": "only tcp",
+		"  balance source": "ties clients", "  stick-table type ip size 1k": "stick-table", "  acl x src 10.0.0.0/8": "acl",
+		"  server d nowhere": "no address", "  timeout server soon": "no time", "peers p": "peers", "  option httpchk": "httpchk",
+		"  server d 'x": "quote", "frontend second": "one front end", "  use-server a if x": "use-server",
+	} {
+		text := strings.Replace(good, "backend spare\n", line+"\nbackend spare\n", 1)
+		_, found, err := Import(strings.NewReader(text))
+		bad := fatal(found)
+		if err != nil || len(bad) == 0 || bad[0].Line != 19 || !strings.Contains(bad[0].Text, want) {
+			t.Errorf("%q: %v %v", line, bad, err)
+		}
+	}
+	var out, report bytes.Buffer
+	if err := Run("/nonexistent", &out, &report); err == nil || out.Len() > 0 {
+		t.Error("a file that is not there was imported")
+	}
+}
+
+// Garbage gives findings, or a file that the front takes; never a panic.
+func TestGarbledConfiguration(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c, found, err := Import(bytes.NewReader(testprog.Garbled(t, good)))
+		if err == nil && len(fatal(found)) == 0 {
+			if err := c.Check(); err != nil {
+				t.Fatalf("no error among %v, but: %v", found, err)
+			}
+		}
+	})
+}
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -199,3 +199,6 @@
 	w.Reset(nil)
 	return err
 }
+
+// Cap is how much memory the buffer holds.
+func (b *Buffer) Cap() int { return cap(b.b) }
--- /dev/null
+++ b/internal/mysql/packet_test.go
@@ -0,0 +1,101 @@
+package mysql
+
+import (
+	"bytes"
+	"encoding/binary"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"dewhill/internal/testprog"
+)
+
+// Packets read the same however they are cut.
+func TestPacketsInPieces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		payloads := rapid.SliceOfN(rapid.SliceOfN(rapid.Byte(), 0, 3000), 1, 5).Draw(t, "payloads")
+		var out stream
+		for _, p := range payloads {
+			out.put(p)
+		}
+		in := newStream(testprog.Cut(t, out.out))
+		for i, want := range payloads {
+			if p, err := in.read(); err != nil || !bytes.Equal(p, want) {
+				t.Fatalf("packet %d: %x, %v", i, p, err)
+			}
+		}
+	})
+}
+
+// Values that are bound come out again as they went in, NULLs among them.
+func TestBoundValues(t *testing.T) {
+	kinds := map[byte]int{0x01: 1, 0x02: 2, 0x03: 4, 0x08: 8, 0x05: 8, typeVarString: -1, typeBlob: -1}
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(t, "params")
+		var params []Param
+		for range n {
+			p := Param{Type: rapid.SampledFrom([]byte{1, 2, 3, 8, 5, typeVarString, typeBlob}).Draw(t, "type")}
+			if p.Null = rapid.Bool().Draw(t, "null"); !p.Null {
+				if k := kinds[p.Type]; k > 0 {
+					p.Value = rapid.SliceOfN(rapid.Byte(), k, k).Draw(t, "value")
+				} else {
+					p.Value = appendText(nil, rapid.SliceOfN(rapid.Byte(), 0, 300).Draw(t, "text"))
+				}
+			}
+			params = append(params, p)
+		}
+		st := &stmt{shape: &shape{params: n}}
+		got, bad := st.bind(executeArg(1, params)[4:])
+		if bad != nil {
+			t.Fatal(bad)
+		}
+		for i := range params {
+			if got[i].Null != params[i].Null || got[i].Type != params[i].Type || !bytes.Equal(got[i].Value, params[i].Value) {
+				t.Fatalf("value %d: %+v, want %+v", i, got[i], params[i])
+			}
+		}
+	})
+}
+
+// Garbage against each parser is an error, never a panic.
+func TestGarbledPackets(t *testing.T) {
+	login := binary.LittleEndian.AppendUint32(nil, ourCapabilities)
+	login = append(append(login, make([]byte, 28)...), "app\x00\x14aaaaaaaaaaaaaaaaaaaatrips\x00mysql_native_password\x00"...)
+	var result stream
+	result.put([]byte{1})
+	result.put(paramColumn)
+	result.put(eofPacket())
+	result.put([]byte("\x03abc"))
+	result.put(eofPacket())
+	execute := executeArg(1, []Param{{Type: 3, Value: []byte("abcd")}, {Type: typeVarString, Value: []byte("\x02hi")}})
+	rapid.Check(t, func(t *rapid.T) {
+		parseLogin(testprog.Garbled(t, string(login)))
+		st := &stmt{shape: &shape{params: 2}}
+		if p, bad := st.bind(testprog.Garbled(t, string(execute[4:]))); bad == nil && len(p) != 2 {
+			t.Fatalf("%+v", p)
+		}
+		s := &session{w: newStream(testprog.Cut(t, testprog.Garbled(t, string(result.out))))}
+		s.result(1 << 20)
+		w := newStream(testprog.Cut(t, testprog.Garbled(t, "\x4a\x00\x00\x00"+string(greeting(7, newChallenge())))))
+		join(w, "a", "b", "c")
+		inspect(string(testprog.Garbled(t, "/* dewhill: class=load key=x */ INSERT INTO a_1.t VALUES (?, '?')")))
+	})
+}
+
+func TestInspect(t *testing.T) {
+	for sql, want := range map[string]shape{
+		"SELECT '?' , ? FROM a_4.t -- ?":               {verb: "SELECT", params: 1, group: 4, table: "a_4.t"},
+		"(select 1)":                                   {verb: "SELECT", group: -1},
+		"SELECT 1 /*! INTO OUTFILE 'x' */":             {verb: "SELECT", writes: true, group: -1},
+		"SELECT a FROM a_1.t FOR UPDATE":               {verb: "SELECT", writes: true, group: 1, table: "a_1.t"},
+		"WITH x AS (SELECT 1) DELETE FROM a_1.t":       {verb: "WITH", writes: true, group: 1, table: "a_1.t"},
+		"CALL p(?)":                                    {verb: "CALL", writes: true, params: 1, group: -1},
+		"EXPLAIN ANALYZE INSERT INTO b_2.t VALUES (1)": {verb: "EXPLAIN", writes: true, group: 2, table: "b_2.t"},
+	} {
+		s := inspect(sql)
+		if s.verb != want.verb || s.writes != want.writes || s.params != want.params || s.group != want.group || s.table != want.table ||
+			s.unusable != nil {
+			t.Errorf("%s: %+v", sql, s)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rest/message_test.go
@@ -0,0 +1,66 @@
+package rest
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"dewhill/internal/lines"
+	"dewhill/internal/testprog"
+)
+
+// Messages read the same however they are cut, one after another.
+func TestCallsInPieces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all strings.Builder
+		bodies := rapid.SliceOfN(rapid.StringN(0, 300, 5000), 1, 4).Draw(t, "bodies")
+		for i, b := range bodies {
+			fmt.Fprintf(&all, "POST /api/v2/c%d HTTP/1.1\r\nReq-Id: %d\r\nContent-Length: %d\r\n\r\n%s", i, i, len(b), b)
+		}
+		in := lines.New(testprog.Cut(t, []byte(all.String())), mostHead)
+		for i, b := range bodies {
+			c, err := readCall(in)
+			if err != nil || string(c.body) != b || c.path != fmt.Sprintf("/api/v2/c%d", i) || c.fields.Get("Req-Id") != fmt.Sprint(i) {
+				t.Fatalf("message %d: %+v, %v", i, c, err)
+			}
+		}
+		if in.Buffered() != 0 {
+			t.Fatalf("%d bytes are left", in.Buffered())
+		}
+	})
+}
+
+// Garbage ends in an error or in whole messages, never in a panic or a body
+// over the limit.
+func TestGarbledCalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := lines.New(testprog.Cut(t, testprog.Garbled(t, post, post+post, "\r\n\r\n"+post)), mostHead)
+		for range 10 {
+			c, err := readCall(in)
+			if err != nil {
+				return
+			}
+			if len(c.body) > mostBody || !strings.HasPrefix(c.path, "/") {
+				t.Fatalf("%+v", c)
+			}
+		}
+	})
+}
+
+const post = "POST /api/v2/load HTTP/1.1\r\nHost: x\r\nReq-Id: 9b1f03aa5c7e2d41\r\nContent-Length: 5\r\n\r\nhello"
+
+// One large message does not stay in memory.
+func TestBufferShrinks(t *testing.T) {
+	big := fmt.Sprintf("POST /x HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s", 1<<19, strings.Repeat("x", 1<<19))
+	in := lines.New(strings.NewReader(big+post), mostHead)
+	for range 2 {
+		if _, err := readCall(in); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if in.Wait(); in.Cap() > 64<<10 {
+		t.Errorf("the buffer keeps %d bytes", in.Cap())
+	}
+}
