One heap for all that is due later, no deadline per message, rows freed with their answer

Cause: a read and a write deadline with each message and a time.AfterFunc of 5 s per request (rest.hold), which kept each result alive; three front ends may share one core.

--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -18,8 +18,8 @@
 	"dewhill/internal/lines"
 )
 
-// Host is the event loop. Post may be called from any goroutine, the rest only
-// from the loop's own.
+// Host is the event loop. Post and Now may be called from any goroutine, the
+// rest only from the loop's own.
 type Host interface {
 	Post(func())
 	Now() float64
@@ -47,11 +47,11 @@
 }
 
 const (
-	probeTimeout = 250  // ms
-	silentAfter  = 1000 // ms without a sign of life after which a connection is not trusted alone
-	writeIn      = 5 * time.Second
-	wordMs       = 10  // ms that a word to an engine may take on its way
-	queued       = 512 // commands that wait for a connection's writer
+	probeTimeout = 250    // ms
+	silentAfter  = 1000   // ms without a sign of life after which a connection is not trusted alone
+	writeIn      = 5000.0 // ms for an engine to take what is written
+	wordMs       = 10     // ms that a word to an engine may take on its way
+	queued       = 512    // commands that wait for a connection's writer
 )
 
 // Pool holds the connections to all engines. Only the loop's goroutine touches
@@ -85,6 +85,8 @@
 	open   map[string]*exchange
 	killed map[string]bool // ids given up here: their answers may still come
 	idleAt float64         // since when nothing is open
+
+	writing atomic.Int64 // when what is being written began; 0: nothing is
 }
 
 // exchange is an attempt, or a probe.
@@ -236,7 +238,9 @@
 	var oldest *conn
 	for _, m := range p.engines {
 		for _, c := range m.conns {
-			if c.up && len(c.open) == 0 && (oldest == nil || c.idleAt < oldest.idleAt) {
+			if at := c.writing.Load(); at > 0 && p.host.Now()-float64(at) > writeIn {
+				p.lost(c, errors.New("its engine takes nothing"))
+			} else if c.up && len(c.open) == 0 && (oldest == nil || c.idleAt < oldest.idleAt) {
 				oldest = c
 			}
 		}
@@ -308,7 +312,7 @@
 				more = false
 			}
 		}
-		c.nc.SetWriteDeadline(time.Now().Add(writeIn))
+		c.writing.Store(int64(p.host.Now()))
 		err := lines.Write(c.nc, func(w *textproto.Writer) {
 			for _, cmd := range batch {
 				if cmd.ex != nil {
@@ -322,6 +326,7 @@
 				}
 			}
 		})
+		c.writing.Store(0)
 		if err != nil {
 			p.host.Post(func() { p.lost(c, err) })
 			return
@@ -566,7 +571,9 @@
 func (p *Pool) sweep() {
 	for _, m := range p.engines {
 		for _, c := range slices.Clone(m.conns) {
-			if c.up && len(c.open) == 0 && p.host.Now()-c.idleAt > 0.6*float64(p.o.Idle.Milliseconds()) {
+			if at := c.writing.Load(); at > 0 && p.host.Now()-float64(at) > writeIn {
+				p.lost(c, errors.New("its engine takes nothing"))
+			} else if c.up && len(c.open) == 0 && p.host.Now()-c.idleAt > 0.6*float64(p.o.Idle.Milliseconds()) {
 				p.lost(c, nil)
 			}
 		}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"container/heap"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -64,6 +65,8 @@
 	order   []recent
 	pending []func() // to run after the event at hand
 	busy    bool
+	later   laters
+	seq     int
 	tell    func([]byte)
 	report  func() any
 	Count   struct {
@@ -101,9 +104,44 @@
 // Open is how many requests owe an answer.
 func (l *Loop) Open() int { return l.core.Open() }
 
-// After calls f in the loop after a time.
+// After calls f in the loop after a time. Each request asks for several of
+// these, so they lie in a heap here and share the loop's one runtime timer:
+// thousands of runtime timers, set anew with each message, took a quarter of
+// the program's CPU.
 func (l *Loop) After(ms float64, f func()) {
-	time.AfterFunc(time.Duration(ms*float64(time.Millisecond)), func() { l.Post(f) })
+	l.seq++
+	heap.Push(&l.later, later{l.Now() + ms, l.seq, f})
+}
+
+// later is something to call, and when.
+type later struct {
+	at  float64
+	seq int
+	f   func()
+}
+
+type laters []later
+
+func (t laters) Len() int { return len(t) }
+func (t laters) Less(i, j int) bool {
+	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].seq < t[j].seq
+}
+func (t laters) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *laters) Push(x any)   { *t = append(*t, x.(later)) }
+func (t *laters) Pop() (x any) {
+	old := *t
+	x = old[len(old)-1]
+	old[len(old)-1] = later{}
+	*t = old[:len(old)-1]
+	return x
+}
+
+// next is when something is due; infinite if nothing is.
+func (l *Loop) next() float64 {
+	if at := l.core.Next(); len(l.later) == 0 || at < l.later[0].at {
+		return at
+	}
+	return l.later[0].at
 }
 
 // Logf writes a line to the log.
@@ -114,8 +152,10 @@
 // run applies events until stop returns true, which it asks after each.
 func (l *Loop) run(stop func() bool) {
 	wake := time.NewTimer(0)
+	set := math.Inf(-1) // when it fires
 	for !stop() {
-		if next := l.core.Next(); !math.IsInf(next, 1) {
+		if next := l.next(); next != set && !math.IsInf(next, 1) {
+			set = next
 			wake.Reset(time.Duration(max(0, next-l.Now()) * float64(time.Millisecond)))
 		}
 		select {
@@ -123,11 +163,15 @@
 			l.Count.Events++
 			f()
 		case <-wake.C:
+			set = math.Inf(-1)
 		}
 		if now := l.Now(); l.core.Next() <= now {
 			l.Count.WorstWake = max(l.Count.WorstWake, now-l.core.Next())
 			l.apply(core.Woke{})
 		}
+		for now := l.Now(); len(l.later) > 0 && l.later[0].at <= now; {
+			heap.Pop(&l.later).(later).f()
+		}
 	}
 }
 
--- a/internal/rest/front.go
+++ b/internal/rest/front.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dewhill/internal/core"
@@ -41,11 +42,13 @@
 
 	holdMs    = 5000     // how long a call is held before it is answered with a path to call next
 	chunk     = 64 << 10 // text of rows in one answer
-	keepMs    = 5000     // how long an answer is kept after it was first given
-	mostKept  = 256      // answers kept for a call that is made again
-	messageIn = 10 * time.Second
-	writeIn   = 10 * time.Second
-	idleFor   = time.Minute
+	onItsWay  = 80.0     // ms before its client's deadline that a request is out of time
+	sweepMs   = 1000.0
+	keepMs    = 5000    // how long an answer is kept after it was first given
+	mostKept  = 256     // answers kept for a call that is made again
+	messageIn = 10000.0 // ms for a message to come in whole
+	writeIn   = 10000.0 // and for an answer to be taken
+	idleFor   = 60000.0 // and without a call
 )
 
 // Front is the state of the front. Only the loop's goroutine touches it.
@@ -79,9 +82,13 @@
 	out      chan *response
 	answered chan struct{} // one token for each call answered
 	ex       *exchange     // that it waits for
-	waiting  bool
-	excess   bool // over the budget
+	since    float64       // since when nothing is owed to it
+	excess   bool          // over the budget
 	closed   bool
+
+	// When the message being read, or the answer being written, began, in the
+	// host's ms; 0: none. A deadline on each would cost a runtime timer each.
+	reading, writing atomic.Int64
 }
 
 // New returns a front that serves the classes by name.
@@ -91,9 +98,23 @@
 	for i, name := range classes {
 		f.classes[name] = i
 	}
+	host.After(sweepMs, f.sweep)
 	return f
 }
 
+// sweep closes connections that have stood still for too long: a client that
+// never ends its message or never takes its answer must not hold a descriptor.
+func (f *Front) sweep() {
+	now := f.host.Now()
+	late := func(at *atomic.Int64, most float64) bool { t := at.Load(); return t > 0 && now-float64(t) > most }
+	for c := range f.conns {
+		if late(&c.reading, messageIn) || late(&c.writing, writeIn) || c.ex == nil && now-c.since > idleFor {
+			c.nc.Close()
+		}
+	}
+	f.host.After(sweepMs, f.sweep)
+}
+
 // Serve accepts clients until the listener is closed.
 func (f *Front) Serve(l net.Listener) {
 	for {
@@ -119,7 +140,7 @@
 	if c.closed {
 		return
 	}
-	f.conns[c] = true
+	f.conns[c], c.since = true, f.host.Now()
 	c.excess = len(f.conns) > f.most
 	if len(f.conns) > f.most+f.most/4 {
 		f.drop(c) // guards the descriptors that engines need
@@ -130,13 +151,12 @@
 // open it waits for the next byte, and so sees the client close.
 func (f *Front) read(c *conn) {
 	b := lines.New(c.nc, mostHead)
-	c.nc.SetReadDeadline(time.Now().Add(idleFor))
 	defer f.host.Post(func() { f.gone(c) })
 	for {
 		if b.Wait() != nil {
 			return
 		}
-		c.nc.SetReadDeadline(time.Now().Add(messageIn))
+		c.reading.Store(int64(f.host.Now()))
 		msg, err := readCall(b)
 		var wrong *badCall
 		if errors.As(err, &wrong) {
@@ -147,7 +167,7 @@
 		} else if err != nil {
 			return
 		}
-		c.nc.SetReadDeadline(time.Time{})
+		c.reading.Store(0)
 		msg.at = f.host.Now()
 		f.host.Post(func() { f.call(c, msg) })
 		if b.Wait() != nil {
@@ -175,8 +195,9 @@
 func (f *Front) write(c *conn) {
 	var once sync.Once
 	for r := range c.out {
-		c.nc.SetWriteDeadline(time.Now().Add(writeIn))
+		c.writing.Store(int64(f.host.Now()))
 		err := r.write(c.nc)
+		c.writing.Store(0)
 		c.answered <- struct{}{}
 		if err != nil || r.last {
 			if t, ok := c.nc.(*net.TCPConn); ok && err == nil {
@@ -224,10 +245,9 @@
 	if c.closed {
 		return
 	}
-	c.ex, c.waiting = nil, false
+	c.ex, c.since = nil, f.host.Now()
 	select {
 	case c.out <- r:
-		c.nc.SetReadDeadline(time.Now().Add(idleFor))
 	default:
 		f.Count.LostWriters++
 		f.drop(c)
@@ -288,7 +308,9 @@
 	if err != nil || wait <= 0 {
 		return r, bad(400, "bad Req-Wait-Ms")
 	}
-	r.At, r.GiveUpAt = m.at, m.at+float64(wait)
+	// Guards answers that are given at the last moment: on a busy core one may be
+	// on its way for tens of milliseconds, and after the deadline it is lost.
+	r.At, r.GiveUpAt = m.at, m.at+float64(wait)-min(onItsWay, float64(wait)/10)
 	if r.Work, err = m.amount("Req-Cost"); err != nil {
 		return r, err
 	}
@@ -337,9 +359,9 @@
 	ex.conn, ex.next = c, next
 	ex.calls++
 	c.ex = ex
-	calls := ex.calls
+	id, calls := ex.id, ex.calls // and not the exchange: its rows must not live on for that long
 	f.host.After(holdMs, func() {
-		if ex.conn != nil && ex.calls == calls && !ex.done {
+		if ex := f.open[id]; ex != nil && ex.conn != nil && ex.calls == calls && !ex.done {
 			c := ex.conn
 			ex.conn, ex.path = nil, true
 			f.Count.Polls++
