Tests for the deadline without a decision and for connections of engines that have gone

Missed: core's own answer at the deadline, which the decisions always forestall, and the close of a gone engine's idle connections. Both are tested now.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -147,3 +147,17 @@
 	}
 	t.Error("no answer by the deadline")
 }
+
+// Decisions that let a deadline pass do not cost the answer: it is given then.
+func TestDeadlineWithoutDecision(t *testing.T) {
+	c := New(settings, 1)
+	c.reqs["x"], c.open = &request{Request: Request{ID: "x", GiveUpAt: 100}}, 1 // the decisions have not heard of it
+	c.after(100, timer{id: "x", attempt: -1})
+	if effects := c.Apply(99, Woke{}); len(effects) != 0 {
+		t.Errorf("before its time: %v", effects)
+	}
+	effects := c.Apply(100, Woke{})
+	if len(effects) == 0 || effects[0] != (Answer{ID: "x", Outcome: Refused, Late: true}) || c.Open() != 0 {
+		t.Errorf("at its time: %v", effects)
+	}
+}
--- a/internal/node/program_test.go
+++ b/internal/node/program_test.go
@@ -334,6 +334,11 @@
 	if status, _, _ := c.do(post("lookup", id(2), wait, "x")); status != 200 {
 		t.Errorf("status %d", status)
 	}
+	testprog.Until(t, "the old engine's connection to be closed", func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.ended == 1
+	})
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if len(e.conns) != 2 {
--- a/internal/node/standin_test.go
+++ b/internal/node/standin_test.go
@@ -27,6 +27,7 @@
 	pulls    []string // "id class priority statement"
 	kills    []string
 	conns    []net.Conn
+	ended    int // connections that the front end has closed
 	// on answers a PULL: it returns what to write, or "die" to reset.
 	on func(id, statement string) string
 }
@@ -54,7 +55,12 @@
 }
 
 func (e *engine) serve(c net.Conn) {
-	defer c.Close()
+	defer func() {
+		c.Close()
+		e.mu.Lock()
+		e.ended++
+		e.mu.Unlock()
+	}()
 	r := bufio.NewReader(c)
 	for {
 		line, err := r.ReadString('\n')
