SIGHUP moves the front end to the new notice board; a silent board is left after 1.5 s

Checked: node.Run's signalled() called service.reload, which newNode left nil (only newMySQL set it), so the program stayed with the board that tells nothing more. The same lines: board.go asked with a linger of 5 s and noticed silence after 6.5 s, against 'told' at 7 s, and backed off up to 1 s.

Now SIGHUP reads PROXY_CONFIG again off the loop, follows the new board from the last event applied, closes the old connection, and keeps the old configuration with one log line where the file can't be read. Events told twice are applied once. The signal handler stands before anything else starts. MySQL's file is read off the loop as well.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -2,6 +2,7 @@
 package board
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -73,44 +74,57 @@
 	return nil
 }
 
+// What the notice board has to tell counts as told 2 s after a break, and 2 s
+// after the end of the wait that was asked for where it falls silent. So the
+// wait is short, and a silent or broken connection is replaced at once.
 const (
-	lingerMs   = 5000
-	slack      = 1500 * time.Millisecond // past the linger after which a board is silent
+	lingerMs   = 1000
+	slack      = 500 * time.Millisecond // past the linger after which a board is silent
 	dialIn     = 500 * time.Millisecond
 	mostAnswer = 4 << 20
-	retryFirst = 50 * time.Millisecond
-	retryMost  = time.Second
+	retryFirst = 20 * time.Millisecond
+	retryMost  = 250 * time.Millisecond
 )
 
-// Follow polls the notice board for what comes after rev, for ever, and hands
-// over what it tells, in order. Garbage or silence drops the connection: the
-// same events are asked for again on a new one.
-func Follow(addr string, rev int64, tell func(*Notices), trouble func(error)) {
+// Follow polls the notice board for what comes after rev, until ctx ends, and
+// hands over what it tells, in order. Garbage or silence drops the connection:
+// the same events are asked for again on a new one.
+func Follow(ctx context.Context, addr string, rev int64, tell func(*Notices), trouble func(error)) {
 	wait := retryFirst
 	for {
-		told, err := follow(addr, &rev, tell)
+		told, err := follow(ctx, addr, &rev, tell)
+		if ctx.Err() != nil {
+			return
+		}
 		trouble(err)
 		if told {
 			wait = retryFirst
 		}
-		time.Sleep(wait)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
 		wait = min(2*wait, retryMost)
 	}
 }
 
-func follow(addr string, rev *int64, tell func(*Notices)) (told bool, err error) {
-	nc, err := net.DialTimeout("tcp", addr, dialIn)
+func follow(ctx context.Context, addr string, rev *int64, tell func(*Notices)) (told bool, err error) {
+	nc, err := (&net.Dialer{Timeout: dialIn}).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return false, err
 	}
 	defer nc.Close()
+	// Guards against an old board that holds its last call open: the program has
+	// moved on, and nothing that comes there may be waited for.
+	defer context.AfterFunc(ctx, func() { nc.Close() })()
 	b := lines.New(nc, 16<<10)
 	for {
 		n, err := poll(nc, b, addr, *rev)
 		if err != nil {
 			return told, err
 		}
-		if told = true; n.Rev > *rev {
+		if told = true; n.Rev > *rev && ctx.Err() == nil {
 			*rev = n.Rev
 			tell(n)
 		}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -30,6 +30,7 @@
 	Settings   wire.Settings `json:"settings"`
 
 	seed uint64
+	path string
 }
 
 // ReadConfig reads the file and checks it.
@@ -38,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Config{}
+	c := &Config{path: path}
 	if err := json.Unmarshal(data, c); err != nil {
 		return nil, fmt.Errorf("%s: %v", path, err)
 	}
--- a/internal/node/mysql.go
+++ b/internal/node/mysql.go
@@ -52,12 +52,14 @@
 	place(cfg)
 	reload := func() {
 		c, err := mysql.ReadConfig(my.Path)
-		if err != nil || c == nil {
-			loop.Logf("engines stay as they are: %v", err)
-			return
-		}
-		place(c)
-		loop.Logf("%d engines read", len(c.Engines))
+		loop.Post(func() {
+			if err != nil || c == nil {
+				loop.Logf("engines stay as they are: %v", err)
+				return
+			}
+			place(c)
+			loop.Logf("%d engines read", len(c.Engines))
+		})
 	}
 	return &service{loop: loop, listen: l, accept: front.Serve, leave: front.Leave, idle: front.Idle, reload: reload}, nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"math"
 	"net"
@@ -24,6 +25,7 @@
 const (
 	acceptFor  = 1000 * time.Millisecond // after SIGTERM: connections come for 0.4 s, requests for 0.2 s more
 	lastAnswer = 50 * time.Millisecond   // for what was written last to be on its way
+	mostLogged = 200                     // lines of a kind, so that a log that is kept in memory has an end
 )
 
 // fit sets the scheduler and the collector to the machine's limits.
@@ -45,9 +47,12 @@
 	pool  *engine.Pool
 	link  *peer.Link
 	count struct {
-		Notices, BoardTroubles, Told, Heard, Strange int
+		Notices, BoardTroubles, Told, Heard, Strange, Reloads, BadReloads int
 	}
-	drains int
+	drains   int
+	rev      int64  // of the last event that was applied
+	board    string // that is followed
+	unfollow context.CancelFunc
 }
 
 // service is a front with its loop and its listener.
@@ -57,7 +62,7 @@
 	accept  func(net.Listener)
 	leave   func()
 	idle    func() bool
-	reload  func()
+	reload  func()    // on the signals' goroutine
 	leaveAt time.Time // the loop's: not before it the service ends
 }
 
@@ -65,6 +70,9 @@
 // is there, as a MySQL front if my is, or as both.
 func Run(cfg *Config, my *MySQL) error {
 	var all []*service
+	// Before all else: SIGHUP must not end a program that has just started.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	if cfg != nil {
 		fit(cfg.Limits.Cores, cfg.Limits.MemoryMB)
 		s, err := newNode(cfg)
@@ -80,11 +88,13 @@
 		}
 		all = append(all, s)
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	go func() {
 		for sig := range signals {
 			for _, s := range all {
+				if sig == syscall.SIGHUP {
+					s.reload() // reads files: not in the loop, where all requests would wait
+					continue
+				}
 				s.loop.Post(func() { s.signalled(sig) })
 			}
 		}
@@ -105,10 +115,6 @@
 	switch {
 	case sig == syscall.SIGUSR1:
 		s.loop.Logf("counters: %s", s.loop.Report())
-	case sig == syscall.SIGHUP:
-		if s.reload != nil {
-			s.reload()
-		}
 	case s.leaveAt.IsZero():
 		s.loop.Logf("%v: finishing what is taken", sig)
 		s.leaveAt = time.Now().Add(acceptFor)
@@ -175,13 +181,52 @@
 		}, func() { n.loop.Post(func() { n.count.Strange++ }) })
 	}
 	n.notices(&cfg.Known)
-	if cfg.Board != "" {
-		go board.Follow(cfg.Board, cfg.Known.Rev, func(ns *board.Notices) { n.loop.Post(func() { n.notices(ns) }) },
-			func(err error) {
-				n.loop.Post(func() { n.count.BoardTroubles++; n.loop.Logf("notice board: %v", err) })
-			})
+	n.follow(cfg.Board)
+	return &service{loop: n.loop, listen: l, accept: n.front.Serve, leave: n.front.Leave, idle: n.front.Idle,
+		reload: func() {
+			cfg, err := ReadConfig(n.cfg.path)
+			n.loop.Post(func() { n.reload(cfg, err) })
+		}}, nil
+}
+
+// reload takes over what a new configuration changes while the program runs:
+// where the notice board is, and what it has told so far. All else is for the
+// next start. What can't be read changes nothing.
+func (n *Node) reload(cfg *Config, err error) {
+	if err != nil {
+		n.count.BadReloads++
+		n.loop.Logf("configuration stays as it is: %v", err)
+		return
 	}
-	return &service{loop: n.loop, listen: l, accept: n.front.Serve, leave: n.front.Leave, idle: n.front.Idle}, nil
+	n.count.Reloads++
+	n.loop.Logf("configuration read again: notice board at %s, after event %d", cfg.Board, n.rev)
+	n.notices(&cfg.Known)
+	n.follow(cfg.Board)
+}
+
+// follow moves to a notice board. The events' numbers go on: it is asked for
+// what comes after the last one applied.
+func (n *Node) follow(addr string) {
+	if addr == n.board {
+		return
+	}
+	if n.unfollow != nil {
+		n.unfollow()
+	}
+	n.board, n.unfollow = addr, nil
+	if addr == "" {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.unfollow = cancel
+	go board.Follow(ctx, addr, n.rev, func(ns *board.Notices) { n.loop.Post(func() { n.notices(ns) }) },
+		func(err error) {
+			n.loop.Post(func() {
+				if n.count.BoardTroubles++; n.count.BoardTroubles < mostLogged {
+					n.loop.Logf("notice board: %v", err)
+				}
+			})
+		})
 }
 
 func ms(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
@@ -204,6 +249,12 @@
 // engine's address by its id only.
 func (n *Node) notices(ns *board.Notices) {
 	for _, e := range ns.Notices {
+		// Guards against an event told twice, by the board that was left and by
+		// the next: the older one would undo what came after it.
+		if e.Rev <= n.rev {
+			continue
+		}
+		n.rev = e.Rev
 		n.count.Notices++
 		if e.Pool == nil {
 			continue
@@ -213,13 +264,14 @@
 			list = append(list, control.EngineInfo{ID: h.ID,
 				Zone: slices.Index(n.cfg.Settings.Localities, h.Site), Kind: slices.Index(n.cfg.Settings.HostTypes, h.Class),
 				Cell: h.Block, Size: h.Share, UpSince: h.BornMs, Draining: h.Health == "leaving", Gone: h.Health == "left"})
-			if n.drains++; n.drains < 200 {
+			if n.drains++; n.drains < mostLogged {
 				n.loop.Logf("engine %s at %s: %s, born %.0f", h.ID, h.Dial, h.Health, h.BornMs)
 			}
 			n.pool.Place(h.ID, h.Dial, h.Health == "left")
 		}
 		n.loop.apply(core.EngineList{Whole: e.Pool.Whole, Engines: list})
 	}
+	n.rev = max(n.rev, ns.Rev)
 }
 
 func (n *Node) report() any {
--- a/internal/node/program_test.go
+++ b/internal/node/program_test.go
@@ -413,3 +413,66 @@
 		}
 	}
 }
+
+// SIGHUP moves the program to the notice board that the file names by then. The
+// numbers go on, what is held stays held, and the old board is left; a file that
+// can't be read changes nothing.
+func TestReload(t *testing.T) {
+	release := make(chan bool)
+	e := newEngine(t, "s-1", func(id, st string) string {
+		if st == "slow" {
+			<-release
+		}
+		return ack(id, "batches=1", "a\tb\tc\n")
+	})
+	e2 := newEngine(t, "s-2", e.on)
+	old, next := newBoard(t), newBoard(t)
+	old.tell[1] = fmt.Sprintf(`{"rev":4,"notices":[{"rev":4,"pool":{"hosts":[%s]}}]}`, hosts(e2))
+	next.tell[4] = `{"rev":5,"notices":[{"rev":5,"pool":{"hosts":[{"host":"s-2","health":"left"}]}}]}`
+	f := start(t, old.addr, 1024, e)
+	testprog.Until(t, "the old board's news", func() bool { return old.asked(4) })
+	held := f.dial()
+	io.WriteString(held.c, post("load", id(1), wait, "slow"))
+	testprog.Until(t, "the pull", func() bool { n, _ := e.count(); m, _ := e2.count(); return n+m == 1 })
+	// A board that says nothing is asked again, well before its news count as told.
+	testprog.Until(t, "the silent board to be asked again", func() bool {
+		old.mu.Lock()
+		defer old.mu.Unlock()
+		return len(old.conns) > 1
+	})
+	text, err := os.ReadFile(f.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reload := func(text, says string) {
+		t.Helper()
+		if err := os.WriteFile(f.path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		f.prog.Signal(syscall.SIGHUP)
+		testprog.Until(t, says, func() bool { return strings.Contains(f.prog.Log(), says) })
+	}
+	reload("{", "configuration stays as it is")
+	reload(strings.ReplaceAll(string(text), old.addr, next.addr), "configuration read again")
+	testprog.Until(t, "the next board's news", func() bool { return strings.Contains(f.prog.Log(), "engine s-2 at : left") })
+	testprog.Until(t, "the next board to be asked on", func() bool { return next.asked(5) })
+	if next.asked(1) || next.asked(0) {
+		t.Errorf("the next board was asked for %v", next.polls)
+	}
+	old.mu.Lock()
+	for _, c := range old.conns {
+		c.SetReadDeadline(time.Now().Add(testprog.Patience))
+		if _, err := c.Read(make([]byte, 1)); err == nil || os.IsTimeout(err) {
+			t.Errorf("the old board's connection is in use: %v", err)
+		}
+	}
+	old.mu.Unlock()
+	close(release)
+	if status, _, a := held.get(); status != 200 || len(a.Page) != 1 {
+		t.Errorf("held over the reload: status %d, %+v", status, a)
+	}
+	n := f.prog.Stop()["node"].(map[string]any)
+	if n["Reloads"] != 1.0 || n["BadReloads"] != 1.0 || n["Notices"] != 3.0 {
+		t.Errorf("counters %v", n)
+	}
+}
--- a/internal/node/standin_test.go
+++ b/internal/node/standin_test.go
@@ -9,6 +9,7 @@
 	"net/textproto"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -105,10 +106,73 @@
 	return fmt.Sprintf("%s ACK %s %d\r\n%s\r\n", id, fields, len(body), body)
 }
 
+// board is a stand-in for the notice board: it tells the notices that it holds
+// from the number asked for on, and is silent while there are none.
+type board struct {
+	addr  string
+	l     net.Listener
+	mu    sync.Mutex
+	polls []int // the numbers asked for
+	tell  map[int]string
+	conns []net.Conn
+}
+
+func newBoard(t *testing.T) *board {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &board{addr: l.Addr().String(), l: l, tell: map[int]string{}}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			b.mu.Lock()
+			b.conns = append(b.conns, c)
+			b.mu.Unlock()
+			go b.serve(c)
+		}
+	}()
+	return b
+}
+
+func (b *board) serve(c net.Conn) {
+	defer c.Close()
+	r := textproto.NewReader(bufio.NewReader(c))
+	for {
+		line, err := r.ReadLine()
+		if err != nil {
+			return
+		}
+		r.ReadMIMEHeader()
+		watch, linger := 0, 0
+		fmt.Sscanf(line, "GET /board/poll?watch=%d&linger=%d", &watch, &linger)
+		b.mu.Lock()
+		b.polls = append(b.polls, watch)
+		body := b.tell[watch]
+		b.mu.Unlock()
+		if body == "" {
+			continue
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+}
+
+// asked reports whether the board was asked for what comes after an event.
+func (b *board) asked(rev int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Contains(b.polls, rev)
+}
+
 // front is the program as a platform front end.
 type front struct {
 	t    *testing.T
 	addr string
+	path string // of its configuration
 	prog *testprog.Program
 }
 
@@ -141,6 +205,7 @@
 	if err := os.WriteFile(path, []byte(cfg), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	f.path = path
 	f.prog = testprog.Start(t, []string{"PROXY_CONFIG=" + path, "PROXY_NAME=", "PROXY_LISTEN="})
 	testprog.Until(t, "the front end to be healthy", func() bool {
 		c, err := net.Dial("tcp", f.addr)
