Client places go to those that call: idle and silent connections make room, none is closed unheard

Ruled out: the engines (few errors, no resets) and the core's CPU (0.06 s a second).

Now places are counted as tokens before accept; over the budget the connection that needs its place least is closed (answered for good, silent for 250 ms, idle longest), never one with a call open; the rest wait in the backlog. Idle connections close after 5 s, a first message has 2 s from the accept and then gets 408, silent ones are closed after 2 s, the drain behind a last answer takes what comes for 2 s, nothing pipelined behind it is read. Bodies are bounded by the memory limit. Figures no engine could meet, an empty statement, POST without a length, a field name with a blank and an empty Transfer-Encoding get a 4xx.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -153,8 +153,10 @@
 	}
 	n := &Node{cfg: cfg, loop: newLoop(cfg.Name, s, cfg.seed)}
 	names := make([]string, len(cfg.Settings.Categories))
+	classes := make([]rest.Limits, len(names))
 	for i, c := range cfg.Settings.Categories {
 		names[i] = c.Name
+		classes[i] = rest.Limits{Name: c.Name, Work: c.HardLimitMs * float64(slices.Max(append(cfg.Settings.Domain.CoresByKind, 1)))}
 	}
 	limits := &cfg.Settings.Limits
 	n.pool = engine.New(n.loop, engine.Options{
@@ -165,7 +167,8 @@
 		MostConns:      cfg.Limits.Sockets / 3,
 	})
 	n.loop.back = n.pool
-	n.front = rest.New(n.loop, names, cfg.Limits.Sockets/2, int(orElse(limits.MaxRetryAfterMs, 500)))
+	n.front = rest.New(n.loop, rest.Options{Classes: classes, Connections: cfg.Limits.Sockets / 2,
+		MemoryMB: cfg.Limits.MemoryMB, WaitMs: int(orElse(limits.MaxRetryAfterMs, 500))})
 	n.loop.report = n.report
 	l, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
--- a/internal/rest/front.go
+++ b/internal/rest/front.go
@@ -34,28 +34,38 @@
 	Connections, Calls, Requests, Malformed, Overload, Abandoned int
 	Served, Refused, Failed, Polls, LostWriters                  int
 	AcceptErrors                                                 int
+	Silent, TooSlow, NotTaken, Idle, Evicted                     int            // connections closed by the front, by cause
+	Wrong                                                        map[string]int // messages rejected, by cause
 }
 
 const (
 	prefix = "/api/v2/"
 	polls  = "/polls/"
 
-	holdMs    = 5000     // how long a call is held before it is answered with a path to call next
-	chunk     = 64 << 10 // text of rows in one answer
-	onItsWay  = 80.0     // ms before its client's deadline that a request is out of time
-	sweepMs   = 1000.0
-	keepMs    = 5000    // how long an answer is kept after it was first given
-	mostKept  = 256     // answers kept for a call that is made again
-	messageIn = 10000.0 // ms for a message to come in whole
-	writeIn   = 10000.0 // and for an answer to be taken
-	idleFor   = 60000.0 // and without a call
+	holdMs   = 5000     // how long a call is held before it is answered with a path to call next
+	chunk    = 64 << 10 // text of rows in one answer
+	onItsWay = 80.0     // ms before its client's deadline that a request is out of time
+	keepMs   = 5000     // how long an answer is kept after it was first given
+	mostKept = 256      // answers kept for a call that is made again
+
+	sweepMs   = 100.0
+	messageIn = 2000.0                // ms for a message to come in whole, the first of a connection from its accept on
+	writeIn   = 5000.0                // and for an answer to be taken
+	idleFor   = 5000.0                // and without a call: clients close after 4 s themselves
+	quietFor  = 250.0                 // and without a first message before the place may go to another
+	drainFor  = 2 * time.Second       // that is still read after the last answer
+	drainMost = 128 << 20             // and how much
+	acceptGap = 10 * time.Millisecond // between tries to accept where descriptors are short
 )
 
 // Front is the state of the front. Only the loop's goroutine touches it.
 type Front struct {
 	host    Host
 	classes map[string]int
-	most    int // client connections that are served; a few more are told to come back
+	most    int           // client connections that are served; a few more are told to come back
+	slots   chan struct{} // one token for each connection that holds a descriptor
+	body    int           // largest body
+	limits  []Limits
 	Count   Counters
 	conns   map[*conn]bool
 	open    map[string]*exchange
@@ -80,71 +90,155 @@
 type conn struct {
 	nc       net.Conn
 	out      chan *response
-	answered chan struct{} // one token for each call answered
-	ex       *exchange     // that it waits for
-	since    float64       // since when nothing is owed to it
-	excess   bool          // over the budget
+	answered chan bool // one token for each call answered; true: it was the last
+	ex       *exchange // that it waits for
+	calls    int
+	excess   bool // over the budget
+	ending   bool // its last answer is given: what still comes is drained
 	closed   bool
+	shut     func() // closes the connection and gives its place back, once
 
-	// When the message being read, or the answer being written, began, in the
-	// host's ms; 0: none. A deadline on each would cost a runtime timer each.
-	reading, writing atomic.Int64
+	busy    atomic.Bool  // from the first byte of a call to the last of its answer
+	quiet   atomic.Int64 // when it was accepted, or answered last, in the host's ms
+	reading atomic.Int64 // when the message being read began; 0: none
+	writing atomic.Int64 // and the answer being written. A deadline on each would cost a runtime timer each.
+}
+
+// Limits bound what a request of a class may ask for.
+type Limits struct {
+	Name string
+	Work float64 // ms on one core; more can't be done in time by any engine
+}
+
+// Options are the front's settings.
+type Options struct {
+	Classes     []Limits
+	Connections int // that are served at once
+	MemoryMB    int // of the whole program; 0: not limited
+	WaitMs      int // what Srv-Wait-Ms says where the front itself refuses
 }
 
 // New returns a front that serves the classes by name.
-func New(host Host, classes []string, most, waitMs int) *Front {
-	f := &Front{host: host, classes: map[string]int{}, most: most, conns: map[*conn]bool{},
-		open: map[string]*exchange{}, wait: waitMs}
-	for i, name := range classes {
-		f.classes[name] = i
+func New(host Host, o Options) *Front {
+	f := &Front{host: host, classes: map[string]int{}, most: o.Connections, conns: map[*conn]bool{},
+		slots: make(chan struct{}, o.Connections+o.Connections/4), open: map[string]*exchange{}, wait: o.WaitMs,
+		limits: o.Classes, body: mostBody}
+	f.Count.Wrong = map[string]int{}
+	if o.MemoryMB > 0 {
+		// Guards the memory where every connection sends as much as it may.
+		f.body = min(mostBody, max(leastBody, o.MemoryMB<<20/8/max(1, cap(f.slots))))
+	}
+	for i, c := range o.Classes {
+		f.classes[c.Name] = i
 	}
 	host.After(sweepMs, f.sweep)
 	return f
 }
 
-// sweep closes connections that have stood still for too long: a client that
-// never ends its message or never takes its answer must not hold a descriptor.
+// sweep ends connections that have stood still for too long: a client that says
+// nothing, never ends its message or never takes its answer is told so or
+// closed, and holds no descriptor.
 func (f *Front) sweep() {
 	now := f.host.Now()
-	late := func(at *atomic.Int64, most float64) bool { t := at.Load(); return t > 0 && now-float64(t) > most }
 	for c := range f.conns {
-		if late(&c.reading, messageIn) || late(&c.writing, writeIn) || c.ex == nil && now-c.since > idleFor {
-			c.nc.Close()
+		began, quiet := float64(c.reading.Load()), float64(c.quiet.Load())
+		if c.calls == 0 {
+			began = quiet // dribbling does not prolong it
+		}
+		switch t := float64(c.writing.Load()); {
+		case t > 0 && now-t > writeIn:
+			f.Count.NotTaken++
+			f.end(c)
+		case c.closed || c.ending:
+		case c.reading.Load() > 0 && now-began > messageIn:
+			f.Count.TooSlow++
+			f.reject(c, &badCall{408, "the message does not end"})
+		case c.busy.Load():
+		case c.calls == 0 && now-quiet > messageIn:
+			f.Count.Silent++
+			f.end(c)
+		case now-quiet > idleFor:
+			f.Count.Idle++
+			f.end(c)
 		}
 	}
+	for len(f.conns) > f.most && f.evict() {
+	}
 	f.host.After(sweepMs, f.sweep)
 }
 
-// Serve accepts clients until the listener is closed.
+// evict closes the connection that needs its place least, with nothing open on
+// it: one that is answered and drained, one that has said nothing yet though a
+// client's call comes at once, the one idle for longest. It guards the places
+// of those that call against those that stay for good and those that come by
+// the hundred and say nothing.
+func (f *Front) evict() bool {
+	var worst *conn
+	rank, since := 3, int64(0)
+	now := f.host.Now()
+	for c := range f.conns {
+		r, q := 2, c.quiet.Load()
+		switch {
+		case c.closed || c.busy.Load():
+			continue
+		case c.ending:
+			r = 0
+		case c.calls == 0 && now-float64(q) > quietFor:
+			r = 1
+		case c.calls == 0:
+			continue
+		}
+		if r < rank || r == rank && q < since {
+			worst, rank, since = c, r, q
+		}
+	}
+	if worst == nil {
+		return false
+	}
+	f.Count.Evicted++
+	f.end(worst)
+	return true
+}
+
+// Serve accepts clients until the listener is closed. Where no place is left,
+// connections wait in the backlog: closed unheard, their requests would fail.
 func (f *Front) Serve(l net.Listener) {
 	for {
+		f.slots <- struct{}{}
 		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		} else if err != nil {
 			// Guards against running out of descriptors: the connection stays in
 			// the backlog and is accepted when others have closed.
+			<-f.slots
 			f.host.Post(func() { f.Count.AcceptErrors++ })
-			time.Sleep(10 * time.Millisecond)
+			time.Sleep(acceptGap)
 			continue
 		}
-		c := &conn{nc: nc, out: make(chan *response, 4), answered: make(chan struct{}, 4)}
+		c := f.conn(nc)
 		f.host.Post(func() { f.accept(c) })
 		go f.read(c)
 		go f.write(c)
 	}
 }
 
+func (f *Front) conn(nc net.Conn) *conn {
+	c := &conn{nc: nc, out: make(chan *response, 4), answered: make(chan bool, 4)}
+	c.quiet.Store(int64(f.host.Now()))
+	c.shut = sync.OnceFunc(func() { nc.Close(); <-f.slots })
+	return c
+}
+
 func (f *Front) accept(c *conn) {
 	f.Count.Connections++
 	if c.closed {
 		return
 	}
-	f.conns[c], c.since = true, f.host.Now()
-	c.excess = len(f.conns) > f.most
-	if len(f.conns) > f.most+f.most/4 {
-		f.drop(c) // guards the descriptors that engines need
+	f.conns[c] = true
+	for len(f.conns) > f.most && f.evict() {
 	}
+	c.excess = len(f.conns) > f.most
 }
 
 // read parses calls and hands them to the loop, one at a time. While a call is
@@ -156,36 +250,43 @@
 		if b.Wait() != nil {
 			return
 		}
+		c.busy.Store(true)
 		c.reading.Store(int64(f.host.Now()))
-		msg, err := readCall(b)
+		msg, err := readCall(b, f.body)
+		c.reading.Store(0)
 		var wrong *badCall
 		if errors.As(err, &wrong) {
 			f.host.Post(func() { f.reject(c, wrong) })
-			<-c.answered
-			drain(c.nc)
-			return
 		} else if err != nil {
 			return
+		} else {
+			msg.at = f.host.Now()
+			f.host.Post(func() { f.call(c, msg) })
+			if b.Wait() != nil {
+				return
+			}
 		}
-		c.reading.Store(0)
-		msg.at = f.host.Now()
-		f.host.Post(func() { f.call(c, msg) })
-		if b.Wait() != nil {
+		// What is pipelined behind a last answer is not read as a call.
+		if last, ok := <-c.answered; !ok {
 			return
-		}
-		if _, ok := <-c.answered; !ok {
+		} else if last {
+			drain(c.nc)
 			return
 		}
 	}
 }
 
-// drain takes in what is still on its way for a moment: closing at once would
-// reset the connection and could lose the answer that is being read.
+var junk = sync.Pool{New: func() any { return new([32 << 10]byte) }}
+
+// drain takes in what is still on its way until the deadline that write has
+// set: closing at once would reset the connection, and a client that is still
+// sending could lose the answer.
 func drain(nc net.Conn) {
-	nc.SetReadDeadline(time.Now().Add(time.Second))
-	var junk [4096]byte
-	for range 1024 {
-		if _, err := nc.Read(junk[:]); err != nil {
+	p := junk.Get().(*[32 << 10]byte)
+	defer junk.Put(p)
+	for n := 0; n < drainMost; {
+		k, err := nc.Read(p[:])
+		if n += k; err != nil {
 			return
 		}
 	}
@@ -193,21 +294,29 @@
 
 // write sends what the loop queued. It ends when the loop closes the queue.
 func (f *Front) write(c *conn) {
-	var once sync.Once
 	for r := range c.out {
 		c.writing.Store(int64(f.host.Now()))
 		err := r.write(c.nc)
 		c.writing.Store(0)
-		c.answered <- struct{}{}
-		if err != nil || r.last {
-			if t, ok := c.nc.(*net.TCPConn); ok && err == nil {
-				t.CloseWrite()
-			}
-			once.Do(func() { time.AfterFunc(time.Second, func() { c.nc.Close() }) })
+		if t, ok := c.nc.(*net.TCPConn); ok && r.last && err == nil {
+			t.SetReadDeadline(time.Now().Add(drainFor)) // ends drain, and a message that is being read
+			t.CloseWrite()
 		}
+		if err != nil {
+			c.shut()
+		}
+		c.quiet.Store(int64(f.host.Now()))
+		c.busy.Store(false)
+		c.answered <- r.last || err != nil
 	}
 	close(c.answered)
-	c.nc.Close()
+	c.shut()
+}
+
+// end closes a connection of the front's own accord.
+func (f *Front) end(c *conn) {
+	f.gone(c)
+	c.shut()
 }
 
 // gone ends a connection. A request whose client has no path to come back by
@@ -245,7 +354,7 @@
 	if c.closed {
 		return
 	}
-	c.ex, c.since = nil, f.host.Now()
+	c.ex, c.ending = nil, r.last
 	select {
 	case c.out <- r:
 	default:
@@ -255,14 +364,19 @@
 }
 
 func (f *Front) reject(c *conn, wrong *badCall) {
+	if c.ending {
+		return
+	}
 	f.Count.Malformed++
+	f.Count.Wrong[wrong.why]++
 	f.reply(c, &response{status: wrong.status, body: errBody(wrong.why), last: true})
 }
 
 func (f *Front) call(c *conn, m *call) {
 	f.Count.Calls++
+	c.calls++
 	switch {
-	case c.closed:
+	case c.closed || c.ending: // it was told that its message came too slowly
 	case m.method == "GET" && m.path == "/-/healthy":
 		status := 200
 		if f.leaving {
@@ -305,16 +419,18 @@
 		return r, err
 	}
 	wait, err := digits(text)
-	if err != nil || wait <= 0 {
+	if err != nil || wait <= 0 || wait > mostWait {
 		return r, bad(400, "bad Req-Wait-Ms")
 	}
 	// Guards answers that are given at the last moment: on a busy core one may be
 	// on its way for tens of milliseconds, and after the deadline it is lost.
 	r.At, r.GiveUpAt = m.at, m.at+float64(wait)-min(onItsWay, float64(wait)/10)
-	if r.Work, err = m.amount("Req-Cost"); err != nil {
+	// Guards what the decisions learn: one figure out of range would outweigh a
+	// day's true ones.
+	if r.Work, err = m.amount("Req-Cost", f.limits[class].Work); err != nil {
 		return r, err
 	}
-	if r.MemoryMB, err = m.amount("X-Mb"); err != nil {
+	if r.MemoryMB, err = m.amount("X-Mb", mostMB); err != nil {
 		return r, err
 	}
 	if r.Key, err = m.one("Req-Key"); err != nil {
@@ -323,6 +439,9 @@
 	if len(r.Key) > 256 {
 		return r, bad(400, "bad Req-Key")
 	}
+	if len(m.body) == 0 {
+		return r, bad(400, "no statement")
+	}
 	r.Dataset = statement.Group(string(m.body))
 	return r, nil
 }
@@ -494,6 +613,11 @@
 
 // Idle reports whether nothing is owed to any client.
 func (f *Front) Idle() bool {
+	for c := range f.conns {
+		if c.busy.Load() && !c.ending && !c.closed {
+			return false
+		}
+	}
 	for _, ex := range f.open {
 		if !ex.done || ex.conn != nil {
 			return false
--- a/internal/rest/front_test.go
+++ b/internal/rest/front_test.go
@@ -3,19 +3,21 @@
 import (
 	"net"
 	"testing"
+	"time"
 
 	"dewhill/internal/core"
 )
 
 // host is a loop without a clock: what is to be called later is called by hand.
 type host struct {
+	now       float64
 	later     []func()
 	answers   map[string]func(core.Answer, any)
 	abandoned []string
 }
 
 func (h *host) Post(f func())              { f() }
-func (h *host) Now() float64               { return 1000 }
+func (h *host) Now() float64               { return h.now }
 func (h *host) After(ms float64, f func()) { h.later = append(h.later, f) }
 func (h *host) Abandon(id string)          { h.abandoned = append(h.abandoned, id) }
 func (h *host) Report() []byte             { return []byte("{}") }
@@ -33,11 +35,12 @@
 }
 
 func setup() (*host, *Front, func() *conn) {
-	h := &host{answers: map[string]func(core.Answer, any){}}
-	f := New(h, []string{"lookup"}, 10, 500)
+	h := &host{now: 1000, answers: map[string]func(core.Answer, any){}}
+	f := New(h, Options{Classes: []Limits{{"lookup", 1e6}}, Connections: 10, WaitMs: 500})
 	return h, f, func() *conn {
 		nc, _ := net.Pipe()
-		c := &conn{nc: nc, out: make(chan *response, 4), answered: make(chan struct{}, 4)}
+		f.slots <- struct{}{}
+		c := f.conn(nc)
 		f.accept(c)
 		return c
 	}
@@ -46,7 +49,7 @@
 const testID = "00000000000000aa"
 
 func submit(f *Front, c *conn) {
-	f.call(c, &call{method: "POST", path: "/api/v2/lookup", fields: map[string][]string{"Req-Id": {testID}, "Req-Wait-Ms": {"9000"}}})
+	f.call(c, &call{method: "POST", path: "/api/v2/lookup", fields: map[string][]string{"Req-Id": {testID}, "Req-Wait-Ms": {"9000"}}, body: []byte("x")})
 }
 
 func get(f *Front, c *conn, method, path string) { f.call(c, &call{method: method, path: path}) }
@@ -125,3 +128,76 @@
 		t.Errorf("%d pages, want 3", n)
 	}
 }
+
+// shut reports whether the front has closed the connection.
+func shut(c *conn) bool {
+	return c.nc.SetDeadline(time.Time{}) != nil
+}
+
+// Places go to those that call: where all are taken, one that is answered for
+// good makes room, then one that has said nothing for a while, then the one idle
+// for longest, and never one with a call open.
+func TestPlacesGoToThoseThatCall(t *testing.T) {
+	h, f, dial := setup()
+	var all []*conn
+	for k := range 10 {
+		c := dial()
+		c.quiet.Store(int64(1000 + k))
+		c.calls = 1
+		all = append(all, c)
+	}
+	all[0].busy.Store(true)
+	all[5].calls = 0
+	all[7].ending = true
+	h.now += 2 * quietFor
+	for k, want := range []int{7, 5, 1, 2} {
+		if next := dial(); next.excess {
+			t.Errorf("connection %d is over the budget", k)
+		} else {
+			next.busy.Store(true)
+		}
+		if !shut(all[want]) {
+			t.Errorf("for connection %d, %d was not closed", k, want)
+		}
+	}
+	for _, k := range []int{0, 3, 4, 6, 8, 9} {
+		if shut(all[k]) {
+			t.Errorf("%d was closed", k)
+		}
+		all[k].busy.Store(true)
+	}
+	if c := dial(); !c.excess {
+		t.Error("with all places busy one more is within the budget")
+	}
+	if len(f.slots) != len(f.conns) {
+		t.Errorf("%d places taken by %d connections", len(f.slots), len(f.conns))
+	}
+}
+
+// Silent clients are closed, those whose message does not end are told so, and
+// idle ones keep their connection for as long as clients do.
+func TestStandingStill(t *testing.T) {
+	h, f, dial := setup()
+	silent, slow, idle, gone := dial(), dial(), dial(), dial()
+	slow.busy.Store(true)
+	slow.reading.Store(1500)
+	idle.calls, gone.calls = 1, 1
+	idle.quiet.Store(2000)
+	h.now += messageIn + 1
+	h.fire()
+	if r := <-slow.out; r.status != 408 || !r.last || !shut(silent) || shut(idle) || shut(gone) {
+		t.Errorf("%+v, silent %v, idle %v %v", r, shut(silent), shut(idle), shut(gone))
+	}
+	f.call(slow, &call{method: "GET", path: "/-/healthy"}) // its end comes after all
+	if len(slow.out) != 0 {
+		t.Error("answered twice")
+	}
+	h.now = 1000 + idleFor + 1
+	h.fire()
+	if shut(idle) || !shut(gone) {
+		t.Errorf("idle: %v, idle for too long: %v", shut(idle), shut(gone))
+	}
+	if c := f.Count; c.Silent != 1 || c.TooSlow != 1 || c.Idle != 1 {
+		t.Errorf("%+v", c)
+	}
+}
--- a/internal/rest/message.go
+++ b/internal/rest/message.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"math"
 	"net/textproto"
 	"strconv"
 	"strings"
@@ -13,8 +12,11 @@
 
 // The limits on what a client may send.
 const (
-	mostHead = 16 << 10
-	mostBody = 1 << 20
+	mostHead  = 16 << 10
+	mostBody  = 1 << 20
+	leastBody = 16 << 10 // largest body where memory is shortest
+	mostWait  = 3600_000 // ms
+	mostMB    = 1 << 20
 )
 
 // call is one message from a client.
@@ -40,7 +42,7 @@
 
 // readCall reads one message. What is malformed or too long is a *badCall: after
 // it nobody knows where the next message begins. Other errors are the connection's.
-func readCall(b *lines.Buffer) (*call, error) {
+func readCall(b *lines.Buffer, most int) (*call, error) {
 	first, fields, err := b.Head()
 	var text textproto.ProtocolError
 	switch {
@@ -65,9 +67,15 @@
 		c.last = c.last || strings.Contains(strings.ToLower(v), "close")
 	}
 	// A length that can be read two ways would let one message hide in another.
-	if fields.Get("Transfer-Encoding") != "" {
+	if _, ok := fields["Transfer-Encoding"]; ok {
 		return nil, bad(411, "a body needs Content-Length")
 	}
+	for name := range fields {
+		// textproto lets these through under a name of their own.
+		if strings.ContainsAny(name, " \t") {
+			return nil, bad(400, "malformed field name")
+		}
+	}
 	n := 0
 	if list := fields.Values("Content-Length"); len(list) > 1 {
 		return nil, bad(400, "more than one Content-Length")
@@ -75,9 +83,11 @@
 		if n, err = digits(list[0]); err != nil {
 			return nil, bad(400, "malformed Content-Length")
 		}
+	} else if c.method == "POST" {
+		return nil, bad(411, "a body needs Content-Length")
 	}
-	if n > mostBody {
-		return nil, bad(413, "body over %d bytes", mostBody)
+	if n > most {
+		return nil, bad(413, "body over %d bytes", most)
 	}
 	body, err := b.Take(n)
 	if err != nil {
@@ -107,14 +117,14 @@
 	return list[0], nil
 }
 
-// amount returns a field that holds a number from 0 up; 0 where it is absent.
-func (c *call) amount(name string) (float64, error) {
+// amount returns a field that holds a number from 0 to most; 0 where it is absent.
+func (c *call) amount(name string, most float64) (float64, error) {
 	s, err := c.one(name)
 	if err != nil || s == "" {
 		return 0, err
 	}
 	x, err := strconv.ParseFloat(s, 64)
-	if err != nil || !(x >= 0) || math.IsInf(x, 0) {
+	if err != nil || !(x >= 0) || x > most {
 		return 0, bad(400, "bad %s", name)
 	}
 	return x, nil
--- a/internal/rest/message_test.go
+++ b/internal/rest/message_test.go
@@ -21,7 +21,7 @@
 		}
 		in := lines.New(testprog.Cut(t, []byte(all.String())), mostHead)
 		for i, b := range bodies {
-			c, err := readCall(in)
+			c, err := readCall(in, mostBody)
 			if err != nil || string(c.body) != b || c.path != fmt.Sprintf("/api/v2/c%d", i) || c.fields.Get("Req-Id") != fmt.Sprint(i) {
 				t.Fatalf("message %d: %+v, %v", i, c, err)
 			}
@@ -38,7 +38,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		in := lines.New(testprog.Cut(t, testprog.Garbled(t, post, post+post, "\r\n\r\n"+post)), mostHead)
 		for range 10 {
-			c, err := readCall(in)
+			c, err := readCall(in, mostBody)
 			if err != nil {
 				return
 			}
@@ -56,7 +56,7 @@
 	big := fmt.Sprintf("POST /x HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s", 1<<19, strings.Repeat("x", 1<<19))
 	in := lines.New(strings.NewReader(big+post), mostHead)
 	for range 2 {
-		if _, err := readCall(in); err != nil {
+		if _, err := readCall(in, mostBody); err != nil {
 			t.Fatal(err)
 		}
 	}
