--- a/internal/mysql/engine.go
+++ b/internal/mysql/engine.go
@@ -138,11 +138,19 @@
 		if !seen[id] && !m.gone {
 			m.gone = true
 			p.closeIdle(m, true)
+			p.forget(id, m)
 		}
 	}
 	return out
 }
 
+// forget drops an engine that has gone with the last of its connections.
+func (p *Pool) forget(id string, m *machine) {
+	if m.gone && len(m.sessions) == 0 {
+		delete(p.engines, id)
+	}
+}
+
 func (p *Pool) closeIdle(m *machine, all bool) {
 	for _, s := range slices.Clone(m.sessions) {
 		if !s.busy && (all || p.host.Now()-s.idleAt > p.limits.IdleMs) {
@@ -355,6 +363,7 @@
 	s.busy, s.idleAt = false, p.host.Now()
 	if broken || s.m.gone || s.m.State == "leaving" {
 		p.drop(s)
+		p.forget(s.m.ID, s.m)
 	}
 	t.mu.Lock()
 	stopped := t.stopped
--- a/internal/mysql/front.go
+++ b/internal/mysql/front.go
@@ -26,12 +26,13 @@
 type FrontCounters struct {
 	Connections, TooMany, Denied, Malformed, Unsupported int
 	Queries, Prepares, Executes, Served, Refused, Failed int
-	KnownIDs, Abandoned, AcceptErrors                    int
+	KnownIDs, Abandoned, AcceptErrors, Evicted           int
 }
 
 const (
-	loginIn = 10 * time.Second
-	idleFor = 8 * time.Hour
+	loginIn  = 3 * time.Second
+	quietFor = 250.0 // ms without a login after which a place may go to another
+	idleFor  = 8 * time.Hour
 )
 
 // Front is the client side. Its fields are the loop's; a client's connection
@@ -41,7 +42,6 @@
 	cfg      *Config
 	accounts []Account
 	Count    FrontCounters
-	conns    int
 	lastConn uint32
 	lastReq  uint64
 	known    map[string]*run
@@ -84,13 +84,12 @@
 			continue
 		}
 		f.host.Post(func() {
-			c := &client{f: f, w: newStream(nc), stmts: map[uint32]*stmt{}}
+			c := &client{f: f, w: newStream(nc), stmts: map[uint32]*stmt{}, since: f.host.Now()}
 			f.Count.Connections++
 			f.lastConn++
 			c.number = f.lastConn
-			f.conns++
 			f.open[c] = true
-			full := f.conns > f.cfg.Limits.Connections
+			full := len(f.open) > f.cfg.Limits.Connections && !f.evict()
 			if full {
 				f.Count.TooMany++
 			}
@@ -99,6 +98,24 @@
 	}
 }
 
+// evict closes the oldest connection that has not logged in. It guards the
+// places of clients against those that connect by the hundred and say nothing.
+func (f *Front) evict() bool {
+	var oldest *client
+	for c := range f.open {
+		if !c.in.Load() && f.host.Now()-c.since > quietFor && (oldest == nil || c.since < oldest.since) {
+			oldest = c
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	f.Count.Evicted++
+	delete(f.open, oldest)
+	oldest.w.c.Close()
+	return true
+}
+
 // Leave tells clients that are idle to go, and others after their answer.
 func (f *Front) Leave() {
 	f.leaving.Store(true)
@@ -248,6 +265,8 @@
 	ran     bool   // the command at hand was a request
 	working bool   // the loop's: an answer is owed
 	request string // the loop's: that a client's going abandons
+	since   float64
+	in      atomic.Bool // logged in
 }
 
 // stmt is a client's handle: ours, and good on no engine.
@@ -263,10 +282,7 @@
 func (c *client) serve(full bool) {
 	defer func() {
 		c.w.c.Close()
-		c.f.host.Post(func() {
-			c.f.conns--
-			delete(c.f.open, c)
-		})
+		c.f.host.Post(func() { delete(c.f.open, c) })
 	}()
 	c.w.c.SetDeadline(time.Now().Add(loginIn))
 	if full {
@@ -285,6 +301,7 @@
 		return
 	}
 	c.user, c.db = l.user, l.db
+	c.in.Store(true)
 	c.w.c.SetDeadline(time.Time{})
 	c.w.c.SetReadDeadline(time.Now().Add(idleFor))
 	for !c.f.leaving.Load() {
--- a/internal/mysql/packet_test.go
+++ b/internal/mysql/packet_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"net"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -99,3 +101,44 @@
 		}
 	}
 }
+
+// clock is a loop of which only the time is asked for.
+type clock struct {
+	Host
+	now float64
+}
+
+func (c *clock) Now() float64 { return c.now }
+
+// Connections that never log in hold no place that a client needs, and engines
+// that have gone are forgotten.
+func TestPlacesAndEnginesAreFreed(t *testing.T) {
+	h := &clock{now: 1000}
+	f := NewFront(h, &Config{})
+	var all []*client
+	for k := range 4 {
+		nc, _ := net.Pipe()
+		c := &client{f: f, w: newStream(nc), since: float64(1000 + 100*k)}
+		f.open[c] = true
+		all = append(all, c)
+	}
+	all[0].in.Store(true)
+	h.now = 1201 + quietFor
+	for _, want := range []bool{true, true, false} {
+		if got := f.evict(); got != want {
+			t.Errorf("evicted: %v, want %v", got, want)
+		}
+	}
+	if !f.open[all[0]] || f.open[all[1]] || f.open[all[2]] || !f.open[all[3]] {
+		t.Error("not the oldest without a login made room")
+	}
+	if all[1].w.c.SetDeadline(time.Time{}) == nil {
+		t.Error("the connection stays open")
+	}
+	p := &Pool{host: h, engines: map[string]*machine{}}
+	p.Place([]Engine{{ID: "a"}, {ID: "b"}}, nil)
+	p.Place([]Engine{{ID: "b"}}, nil)
+	if len(p.engines) != 1 || p.engines["b"] == nil {
+		t.Errorf("%d engines known", len(p.engines))
+	}
+}
