Front ends tell one another of the loads they have out; readers and loads keep away

A log of loads and reads by engine and data set showed 491 of the 954 lookups that were slow or given up standing behind a load of another front end that was out there before they were sent, 18 behind an own one; 84 of 327 loads were sent behind another front end's load of their data set. Ruled out: lost connections (1), engine errors (4), places (127 of 384 descriptors). Line at fault: control.go choose() looked at e.loads only, which holds this gateway's own.

Each message to peers now names the loads that are out (engine and data set, 8 bytes each, within 256), sent when one moves; up to 8 gateways.

--- a/control/control.go
+++ b/control/control.go
@@ -145,6 +145,7 @@
 		g.act(Action{Kind: Timer, Wait: backoffMin + g.rng.Float64()*backoffMax, Timer: "watch"})
 	}
 	g.release()
+	g.tell(false)
 	return g.actions
 }
 
@@ -172,6 +173,7 @@
 			e = &engine{EngineInfo: info, cores: k.cores, weight: k.cores, speed: 1, light: &k.light,
 				toldAt: math.Inf(-1), loop: &loop{}, ranks: map[int]float64{},
 				crowded: k.cores < float64(g.s.Gateways)}
+			e.tag = uint32(hash(e.ID, 0))
 			start := e.cores * g.share()
 			if e.pooled = e.crowded && g.s.MayProbe && g.s.ReportsInProbes; e.pooled {
 				e.loop, start = &k.loop, e.cores
@@ -215,7 +217,8 @@
 }
 
 // choose returns the engine of the least score (infinite is none), or nil. Those of earlier attempts, and
-// of our loads of the data set, come last. Equals are drawn, as gateways that see one list must not herd.
+// of loads of the data set, ours or a peer's, come last. Equals are drawn, as gateways that see one list
+// must not herd.
 func (g *Gateway) choose(r *request, score func(*engine) float64) *engine {
 	var best *engine
 	var loads []*engine
@@ -234,7 +237,7 @@
 		} else if r.cl.Load && !e.pooled {
 			v = -e.rank(r.dataset)
 		}
-		if (r.cl.Waits || r.cl.Load) && slices.Contains(e.loads, r.dataset) {
+		if (r.cl.Waits || r.cl.Load) && g.loaded(e, r.dataset) {
 			v += 2e6
 		} else if slices.Contains(loads, e) != r.cl.Load {
 			v += 1e6
@@ -602,11 +605,7 @@
 	for i := range g.asked {
 		g.asked[i] *= math.Exp2(-sweepEvery / rateHalf)
 	}
-	if g.s.MayTell && g.s.Gateways > 1 && g.now >= g.tellAt {
-		g.tellAt = g.now + g.tellEvery()
-		g.sum(g.now - peerStale*g.tellEvery())
-		g.act(Action{Kind: Tell, Message: bytesOf(g.asked)})
-	}
+	g.tell(g.now >= g.tellAt)
 	g.pace()
 	for i := range g.classes {
 		c := &g.classes[i]
@@ -715,7 +714,7 @@
 	g.report(e, ev.Report)
 	g.busyMs, g.threadMs = g.busyMs+ev.Elapsed, g.threadMs+ev.Elapsed*float64(r.cl.Threads)
 	if i := slices.Index(e.loads, r.dataset); r.cl.Load && i >= 0 {
-		e.loads = slices.Delete(e.loads, i, i+1)
+		e.loads, g.moved = slices.Delete(e.loads, i, i+1), true
 	}
 	if !a.neverRan && ev.Result != Served && ev.Result != Errored && r.cl.InOrder {
 		g.rests[r.key] = rest{g.now + g.s.OrderSettle, r}
@@ -980,7 +979,7 @@
 	g.book(r, e, r.cl.Threads)
 	e.unseen += float64(r.cl.Threads)
 	if r.cl.Load {
-		e.loads = append(e.loads, r.dataset)
+		e.loads, g.moved = append(e.loads, r.dataset), true
 	}
 	g.act(Action{Kind: Send, Req: r.id, Engine: e.ID, Until: r.giveUp})
 	return true
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -921,3 +921,54 @@
 		g.Handle(now, Event{Kind: TimerDue, Timer: "sweep"})
 	}
 }
+
+// A gateway tells its peers of the loads it has out, and their readers and loads
+// keep away from there until it tells that they have ended.
+func TestPeersLoadsAreKeptAwayFrom(t *testing.T) {
+	s := twoKinds()
+	s.MayTell = true
+	s.Classes[0].Waits = true
+	s.Classes[2].Load = true
+	a := newTrial(t, s, engines("a", "b", "c")...)
+	s.Self = 1
+	b := newTrial(t, s, engines("a", "b", "c")...)
+	told := func(actions []Action) {
+		t.Helper()
+		for _, x := range actions {
+			if x.Kind == Tell {
+				if len(x.Message) > mostMessage {
+					t.Errorf("a message of %d bytes", len(x.Message))
+				}
+				b.do(Event{Kind: Heard, Peer: 0, Message: x.Message})
+				return
+			}
+		}
+		t.Error("peers were not told")
+	}
+	at := 0
+	reads := func() (n int) {
+		for range 12 {
+			at++
+			id := fmt.Sprint("r", at)
+			b.do(Event{Kind: Arrived, Req: id, Class: 0, GiveUpAt: b.now + 2000, Work: 50, Dataset: 7})
+			if b.reqs[id].tries[0].engine == a.sends[0].Engine {
+				n++
+			}
+			b.now += 50
+			b.end(id, Served)
+		}
+		return n
+	}
+	told(a.do(Event{Kind: Arrived, Req: "load", Class: 2, GiveUpAt: a.now + 5000, Work: 50, Dataset: 7}))
+	if n := reads(); n != 0 {
+		t.Errorf("%d reads of 12 stand behind the peer's load", n)
+	}
+	told(a.end("load", Served))
+	if b.g.theirs(b.g.byID[a.sends[0].Engine], 7) {
+		t.Error("a load that has ended is still kept away from")
+	}
+	b.do(Event{Kind: Heard, Peer: 0, Message: append(bytesOf(a.g.asked), 1, 2, 3)}) // cut off
+	if len(b.g.peers[0].loads) != 0 {
+		t.Error("a message that was cut off was used")
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -74,6 +74,7 @@
 	trial           bool   // shut out, not yet passed a trial
 	sent            []sent // while cold
 	loads           []int  // data sets of loads out there
+	tag             uint32 // its name in messages to peers
 }
 
 type homeKey struct {
@@ -139,6 +140,7 @@
 	asked             []float64 // decaying: secondary work asked for, then requests by tenant
 	told              []float64 // the same, summed over peers
 	peers             map[int]peer
+	moved             bool    // a load went out or ended since peers were told
 	sweepAt, pausedAt float64 // when the next sweep is due; when this gateway found that it had stood still
 	tellAt, bornAt    float64
 	started           bool
@@ -155,9 +157,13 @@
 // peer is what a peer told last, and when.
 type peer struct {
 	asked []float64
+	loads []load
 	at    float64
 }
 
+// load names a load that is out: its engine's tag and its data set.
+type load struct{ tag, dataset uint32 }
+
 func (g *Gateway) act(a Action) { g.actions = append(g.actions, a) }
 
 func (g *Gateway) log(format string, args ...any) {
@@ -324,16 +330,69 @@
 	}
 }
 
+const (
+	mostMessage = 256 // bytes of the longest message to peers
+	fewGateways = 8   // gateways that tell one another of each load at once
+)
+
+// tell tells peers what this gateway was asked for and which loads it has out, when that is due or a load
+// has moved. It tells all of it each time, as any message may be lost.
+func (g *Gateway) tell(due bool) {
+	if !due && !(g.moved && g.s.Gateways <= fewGateways) || !g.s.MayTell || g.s.Gateways < 2 {
+		return
+	}
+	if g.moved = false; due {
+		g.tellAt = g.now + g.tellEvery()
+		g.sum(g.now - peerStale*g.tellEvery())
+	}
+	msg := bytesOf(g.asked)
+	if g.s.Gateways <= fewGateways {
+		for _, e := range g.engines {
+			for _, dataset := range e.loads {
+				if dataset >= 0 && len(msg)+8 <= mostMessage {
+					msg = binary.BigEndian.AppendUint32(msg, e.tag)
+					msg = binary.BigEndian.AppendUint32(msg, uint32(dataset))
+				}
+			}
+		}
+	}
+	g.act(Action{Kind: Tell, Message: msg})
+}
+
+// loaded reports whether a load of the data set is out at the engine, ours or a peer's.
+func (g *Gateway) loaded(e *engine, dataset int) bool {
+	return slices.Contains(e.loads, dataset) || g.theirs(e, dataset)
+}
+
+// theirs reports whether a peer has a load of the data set out at the engine, by what it told last.
+func (g *Gateway) theirs(e *engine, dataset int) bool {
+	for _, p := range g.peers {
+		if g.now < p.at+peerStale*g.tellEvery() && slices.Contains(p.loads, load{e.tag, uint32(dataset)}) {
+			return true
+		}
+	}
+	return false
+}
+
 // hear keeps what a peer tells, and the sums over all of them.
 func (g *Gateway) hear(ev Event) {
-	known := ev.Peer >= 0 && ev.Peer < g.s.Gateways // sum looks at no others
-	if said := floats(ev.Message); known && len(said) == len(g.asked) {
-		before := g.peers[ev.Peer].asked
-		g.peers[ev.Peer] = peer{said, g.now}
-		for i, x := range said {
-			if g.told[i] += x; before != nil {
-				g.told[i] -= before[i]
-			}
+	at := 4 * len(g.asked)
+	if ev.Peer < 0 || ev.Peer >= g.s.Gateways || len(ev.Message) < at || (len(ev.Message)-at)%8 != 0 {
+		return // sum looks at no others
+	}
+	said, rest := floats(ev.Message[:at]), ev.Message[at:]
+	if len(said) != len(g.asked) {
+		return
+	}
+	before := g.peers[ev.Peer].asked
+	p := peer{asked: said, at: g.now}
+	for ; len(rest) > 0; rest = rest[8:] {
+		p.loads = append(p.loads, load{binary.BigEndian.Uint32(rest), binary.BigEndian.Uint32(rest[4:])})
+	}
+	g.peers[ev.Peer] = p
+	for i, x := range said {
+		if g.told[i] += x; before != nil {
+			g.told[i] -= before[i]
 		}
 	}
 }
