What stands behind a load is not held against its engine; ceiling of 1.0 secondary threads a core

Ruled out: places (127 of 384 descriptors), lost connections, the share of the three front ends (0.30 to 0.38 by their own telling). Lines at fault: control.go learn() gave sample() the latency of dashboards that stood still behind a load, so E fell and pace() judged the engine slow for what was neither its speed nor the number of secondary threads; look() shut engines out as silent for the same; ceilPerCore 0.8.

Now an attempt that met a load of its data set, ours or a peer's, is left out of R, of the pace, of the stretch and of suspicion.

--- a/control/control.go
+++ b/control/control.go
@@ -15,7 +15,7 @@
 	n            = 3.0    // the model's divisor in KI = P/(R*n): secondary threads a dashboard stands beside
 	q            = 10     // dashboards that close an interval: about a second's worth at one engine
 	intervalMax  = 5000   // ms after which an interval closes with what it has
-	ceilPerCore  = 0.8    // secondary threads a core, all gateways: past it engines spill, thrash and do less
+	ceilPerCore  = 1.0    // secondary threads a core, all gateways: past it engines spill, thrash and do less
 	fullPerCore  = 1.3    // threads a core, by reports, past which total work done falls
 	memoryFull   = 0.8    // share of its memory granted at which an engine is full: more is on its way
 	askEvery     = 400.0  // ms between probes while work is held for want of a fresh report
@@ -172,8 +172,7 @@
 			}
 			e = &engine{EngineInfo: info, cores: k.cores, weight: k.cores, speed: 1, light: &k.light,
 				toldAt: math.Inf(-1), loop: &loop{}, ranks: map[int]float64{},
-				crowded: k.cores < float64(g.s.Gateways)}
-			e.tag = uint32(hash(e.ID, 0))
+				crowded: k.cores < float64(g.s.Gateways), tag: uint32(hash(info.ID, 0))}
 			start := e.cores * g.share()
 			if e.pooled = e.crowded && g.s.MayProbe && g.s.ReportsInProbes; e.pooled {
 				e.loop, start = &k.loop, e.cores
@@ -217,8 +216,7 @@
 }
 
 // choose returns the engine of the least score (infinite is none), or nil. Those of earlier attempts, and
-// of loads of the data set, ours or a peer's, come last. Equals are drawn, as gateways that see one list
-// must not herd.
+// of any gateway's loads of the data set, come last. Equals are drawn: with one list they must not herd.
 func (g *Gateway) choose(r *request, score func(*engine) float64) *engine {
 	var best *engine
 	var loads []*engine
@@ -643,10 +641,11 @@
 			continue
 		}
 		age, exp := g.now-a.at, g.lasts(r)
+		a.behind = a.behind || r.cl.Waits && g.loaded(a.e, r.dataset)
 		if !r.cl.dash {
 			r.cl.runMs += max(exp-age, exp/10) * float64(r.cl.Threads)
 			r.cl.runTry++
-		} else if most := g.patience(r); !r.over && g.pausedAt != g.now && a.e.heard < a.at && age > most {
+		} else if most := g.patience(r); !r.over && !a.behind && g.unheard(a) && age > most {
 			if a.e.silent++; a.e.silent >= failsToShut || age > most+r.cl.Aim { // not just a lost answer
 				g.shut(a.e, "silent")
 			}
@@ -744,13 +743,13 @@
 }
 
 // learn books what an outcome tells. A dashboard without an answer counts as its aim at least in R: left
-// out, a dead engine would look fast.
+// out, a dead engine would look fast. What stood behind a load tells of that load, not of its engine.
 func (g *Gateway) learn(r *request, a *attempt, ev Event) {
 	e, work := a.e, g.workOf(r)
 	if ev.Result == Served && ev.Work > 0 && r.work > 0 {
 		r.cl.bias.add(min(max(ev.Work/r.work, 0.1), 10))
 	}
-	if g.pausedAt == g.now {
+	if g.pausedAt == g.now || (a.behind && !r.cl.dash) {
 		return
 	}
 	if !r.cl.dash {
@@ -764,6 +763,10 @@
 	}
 	if ev.Result == Served {
 		e.done += r.cl.Threads
+	}
+	if a.behind {
+		return
+	} else if ev.Result == Served {
 		g.sample(e, r, a, ev.Elapsed)
 	} else if ev.Result == TimedOut || ev.Result == Cancelled || ev.Result == Reset {
 		g.sample(e, r, a, max(ev.Elapsed, r.cl.Aim))
--- a/control/state.go
+++ b/control/state.go
@@ -90,6 +90,7 @@
 	out       bool
 	cancelled bool
 	errored   bool
+	behind    bool // it stood behind a load of its data set
 	neverRan  bool
 	share     float64 // done, by the last note
 	shareAt   float64 // when that came
@@ -359,6 +360,10 @@
 	g.act(Action{Kind: Tell, Message: msg})
 }
 
+// unheard reports whether an engine has given no sign of life since an attempt went out, and this gateway
+// was there to hear it.
+func (g *Gateway) unheard(a *attempt) bool { return g.pausedAt != g.now && a.e.heard < a.at }
+
 // loaded reports whether a load of the data set is out at the engine, ours or a peer's.
 func (g *Gateway) loaded(e *engine, dataset int) bool {
 	return slices.Contains(e.loads, dataset) || g.theirs(e, dataset)
