--- /dev/null
+++ b/internal/engine/pool_test.go
@@ -0,0 +1,80 @@
+package engine
+
+import (
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"dewhill/control"
+	"dewhill/internal/core"
+)
+
+// host is a loop that the test turns by hand.
+type host struct {
+	posts chan func()
+	ended map[string]control.Result
+}
+
+func (h *host) Post(f func())           { h.posts <- f }
+func (h *host) Now() float64            { return 1000 }
+func (h *host) After(float64, func())   {}
+func (h *host) Probed(core.Probed)      {}
+func (h *host) Logf(_ string, _ ...any) {}
+func (h *host) Ended(ev core.AttemptEnded, _ any) {
+	h.ended[ev.ID] = ev.Result
+}
+
+// short is a connection that takes so many bytes and is reset then.
+type short struct {
+	net.Conn
+	takes int
+}
+
+func (s *short) Write(b []byte) (int, error) { return min(s.takes, len(b)), errors.New("reset") }
+
+// A request that its connection did not take whole never ran, so it may go
+// elsewhere even where it must not run twice; one that was taken may have run.
+func TestResetWhileWriting(t *testing.T) {
+	h := &host{posts: make(chan func(), 16), ended: map[string]control.Result{}}
+	p := New(h, Options{Classes: []string{"load"}, Streams: 32, MostConns: 4, Idle: time.Minute})
+	p.Place("s-1", "127.0.0.1:1", false)
+	m := p.engines["s-1"]
+	nc, _ := net.Pipe()
+	c := &conn{m: m, addr: m.addr, up: true, out: make(chan command, queued), open: map[string]*exchange{},
+		killed: map[string]bool{}, past: map[string]bool{}}
+	m.conns, m.heardAt, p.conns = []*conn{c}, 1000, 1
+	first := "PULL a c=load,w=500,nice=1 1\r\nx\r\n"
+	c.nc = &short{nc, len(first) + 7}
+	for _, id := range []string{"a", "b", "c"} {
+		p.Start(core.Start{ID: id, Engine: "s-1", Until: 1500, Priority: 1}, 0, []byte("x"))
+	}
+	go p.write(c)
+	for end := time.After(time.Minute); len(h.ended) < 3; {
+		select {
+		case f := <-h.posts:
+			f()
+		case <-end:
+			t.Fatalf("ended so far: %v", h.ended)
+		}
+	}
+	if h.ended["a"] != control.Reset || h.ended["b"] != control.ConnectFailed || h.ended["c"] != control.ConnectFailed {
+		t.Errorf("%v", h.ended)
+	}
+	if p.conns != 0 || p.Count.Unsent != 2 || len(m.out) != 0 {
+		t.Errorf("%d connections, %d attempts, %+v", p.conns, len(m.out), p.Count)
+	}
+}
+
+// An engine that has gone is forgotten, with its connections or without any.
+func TestGoneEnginesAreForgotten(t *testing.T) {
+	p := New(&host{}, Options{})
+	for _, id := range []string{"s-1", "s-2", "s-3"} {
+		p.Place(id, "127.0.0.1:1", false)
+	}
+	p.Place("s-1", "", true)
+	p.Only(map[string]bool{"s-3": true})
+	if len(p.engines) != 1 || p.engines["s-3"] == nil {
+		t.Errorf("%d engines known", len(p.engines))
+	}
+}
--- a/internal/node/standin_test.go
+++ b/internal/node/standin_test.go
@@ -23,7 +23,6 @@
 // and answers as it is told.
 type engine struct {
 	id, addr string
-	l        net.Listener
 	mu       sync.Mutex
 	pulls    []string // "id class priority statement"
 	kills    []string
@@ -34,11 +33,22 @@
 }
 
 func newEngine(t *testing.T, id string, on func(id, statement string) string) *engine {
+	e := &engine{id: id, on: on}
+	e.addr = listen(t, func(c net.Conn) {
+		e.mu.Lock()
+		e.conns = append(e.conns, c)
+		e.mu.Unlock()
+		e.serve(c)
+	})
+	return e
+}
+
+// listen serves connections on a free address until the test ends.
+func listen(t *testing.T, serve func(net.Conn)) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	e := &engine{id: id, addr: l.Addr().String(), l: l, on: on}
 	t.Cleanup(func() { l.Close() })
 	go func() {
 		for {
@@ -46,13 +56,10 @@
 			if err != nil {
 				return
 			}
-			e.mu.Lock()
-			e.conns = append(e.conns, c)
-			e.mu.Unlock()
-			go e.serve(c)
+			go serve(c)
 		}
 	}()
-	return e
+	return l.Addr().String()
 }
 
 func (e *engine) serve(c net.Conn) {
@@ -110,7 +117,6 @@
 // from the number asked for on, and is silent while there are none.
 type board struct {
 	addr  string
-	l     net.Listener
 	mu    sync.Mutex
 	polls []int // the numbers asked for
 	tell  map[int]string
@@ -118,24 +124,13 @@
 }
 
 func newBoard(t *testing.T) *board {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	b := &board{addr: l.Addr().String(), l: l, tell: map[int]string{}}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			b.mu.Lock()
-			b.conns = append(b.conns, c)
-			b.mu.Unlock()
-			go b.serve(c)
-		}
-	}()
+	b := &board{tell: map[int]string{}}
+	b.addr = listen(t, func(c net.Conn) {
+		b.mu.Lock()
+		b.conns = append(b.conns, c)
+		b.mu.Unlock()
+		b.serve(c)
+	})
 	return b
 }
 
