--- a/control/api.go
+++ b/control/api.go
@@ -142,6 +142,8 @@
 	ListWhole                   // Engines: the whole list
 	ListChange                  // Engines: changed entries
 	ListFailed                  // the list could not be had
+	TakenOut                    // Engine: an operator leaves it out, whatever the list says
+	PutBack                     // Engine: and puts it back
 )
 
 // Event is something that happened.
--- a/control/control.go
+++ b/control/control.go
@@ -77,8 +77,8 @@
 	g := &Gateway{s: s, rng: rand.New(rand.NewPCG(seed, 0x6c617069)), byID: map[string]*engine{},
 		asked: make([]float64, 1+len(s.Tenants)), told: make([]float64, 1+len(s.Tenants)),
 		byReq: map[string]*request{}, keys: map[string][]*request{}, rests: map[string]rest{},
-		homes: map[homeKey][]*engine{}, peers: map[int]peer{}, stretch: mean{paceFirst, 1},
-		scatter: mean{scatterFirst, 1}}
+		handed: map[string]float64{}, homes: map[homeKey][]*engine{}, peers: map[int]peer{},
+		stretch: mean{paceFirst, 1}, scatter: mean{scatterFirst, 1}}
 	g.s.Gateways = max(1, s.Gateways)
 	for _, k := range append(slices.Clone(s.Kinds), Kind{}) { // the last stands for unknown ones
 		g.kinds = append(g.kinds, kind{cores: max(1, float64(k.Cores))})
@@ -134,6 +134,8 @@
 		return g.actions
 	case ListWhole, ListChange:
 		g.list(ev)
+	case TakenOut, PutBack:
+		g.byHand(ev.Engine, ev.Kind == TakenOut)
 	case TimerDue:
 		if ev.Timer == "sweep" {
 			g.sweep()
@@ -160,7 +162,7 @@
 func (g *Gateway) list(ev Event) {
 	if ev.Kind == ListWhole {
 		for _, e := range g.engines {
-			e.listed = false
+			e.named, e.listed = false, false
 		}
 	}
 	for _, info := range ev.Engines {
@@ -190,7 +192,8 @@
 			e.lat, e.work = mean{}, mean{}
 		}
 		info.UpSince = max(info.UpSince, e.UpSince)
-		e.EngineInfo, e.listed = info, !info.Draining && !info.Gone
+		e.EngineInfo, e.named = info, !info.Gone
+		g.admit(e)
 	}
 	g.forget(ev.Kind == ListWhole)
 	g.count()
@@ -954,14 +957,6 @@
 // charge is what a request counts for at a cold engine.
 func (g *Gateway) charge(r *request) float64 { return max(r.usual(), g.workOf(r)) }
 
-// usual is the usual work of the request's class, its aim while unknown.
-func (r *request) usual() float64 {
-	if r.cl.usual.n > 0 {
-		return r.cl.usual.v
-	}
-	return r.cl.Aim
-}
-
 // send is the one place from which requests go out.
 func (g *Gateway) send(r *request, e *engine) bool {
 	if e == nil || !g.maySend(r, e) {
--- a/control/state.go
+++ b/control/state.go
@@ -52,7 +52,8 @@
 	EngineInfo
 	cores     float64
 	light     *mean // its kind's dashboard latency at light load
-	listed    bool  // in the list, not draining
+	named     bool  // in the list
+	listed    bool  // and not draining, nor taken out by hand
 	dash, sec int   // threads of this gateway's attempts there
 
 	*loop
@@ -131,12 +132,13 @@
 	plan              []*request // of shed, kept for its room
 	keys              map[string][]*request
 	rests             map[string]rest
-	taken             []float64 // when requests were taken, as far back as budgets look
-	extra             []float64 // when further attempts were sent
-	lat               mean      // of dashboards, any engine
-	stretch           mean      // secondary thread time over work, any engine
-	scatter           mean      // and how far single ones lie off, as a part
-	aim               float64   // the shortest dashboard aim
+	handed            map[string]float64 // engines taken out by hand, whatever the list says, and since when
+	taken             []float64          // when requests were taken, as far back as budgets look
+	extra             []float64          // when further attempts were sent
+	lat               mean               // of dashboards, any engine
+	stretch           mean               // secondary thread time over work, any engine
+	scatter           mean               // and how far single ones lie off, as a part
+	aim               float64            // the shortest dashboard aim
 	seq               int
 	asked             []float64 // decaying: secondary work asked for, then requests by tenant
 	told              []float64 // the same, summed over peers
@@ -209,7 +211,7 @@
 func (g *Gateway) forget(whole bool) {
 	clear(g.homes)
 	g.engines = slices.DeleteFunc(g.engines, func(e *engine) bool {
-		if e.Gone = e.Gone || whole && !e.listed && !e.Draining; !e.Gone {
+		if e.Gone = e.Gone || whole && !e.named; !e.Gone {
 			e.goneAt = g.now
 		}
 		gone := g.now > e.goneAt+keepGone && e.dash+e.sec == 0
@@ -220,6 +222,60 @@
 	})
 }
 
+// admit settles whether an engine may be used.
+func (g *Gateway) admit(e *engine) {
+	_, out := g.handed[e.ID]
+	e.listed = e.named && !e.Draining && !out
+}
+
+// byHand takes an engine out, or puts it back, as an operator says: by id, whatever the list says of it. One
+// put back counts as just started unless the list told of a restart since: it guards against more than a cold
+// engine can take, as the list is seconds late.
+func (g *Gateway) byHand(id string, out bool) {
+	since, was := g.handed[id]
+	if out == was {
+		return
+	}
+	if delete(g.handed, id); out {
+		g.handed[id] = g.now
+	}
+	e := g.byID[id]
+	if e == nil {
+		return
+	}
+	if !out {
+		if e.UpSince <= since {
+			e.UpSince = g.now
+		}
+		e.fails, e.backoffs, e.trial, e.shutUntil = 0, 0, false, 0
+		e.lat, e.work = mean{}, mean{}
+	}
+	g.admit(e)
+	clear(g.homes)
+	g.count()
+}
+
+// Hosts counts the engines in the list, and those of them that are avoided now, by hand or by choice.
+func (g *Gateway) Hosts() (listed, avoided int) {
+	for _, e := range g.engines {
+		if !e.named {
+			continue
+		}
+		if listed++; !e.listed || g.shutOut(e) {
+			avoided++
+		}
+	}
+	return listed, avoided
+}
+
+// usual is the usual work of the request's class, its aim while unknown.
+func (r *request) usual() float64 {
+	if r.cl.usual.n > 0 {
+		return r.cl.usual.v
+	}
+	return r.cl.Aim
+}
+
 // errors counts the attempts that ended in an error.
 func (r *request) errors() (k int) {
 	for i := range r.tries {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -58,6 +58,11 @@
 		Peer    int
 		Message []byte
 	}
+	// ByHand tells that an operator takes an engine out, or puts it back.
+	ByHand struct {
+		Engine string
+		Out    bool
+	}
 	// Woke tells that the time asked for by Next has come.
 	Woke struct{}
 )
@@ -68,6 +73,7 @@
 func (EngineList) event()   {}
 func (Probed) event()       {}
 func (Heard) event()        {}
+func (ByHand) event()       {}
 func (Woke) event()         {}
 
 // Effect is something to do.
@@ -231,6 +237,9 @@
 	return out
 }
 
+// Hosts counts the engines in the list, and those of them that are avoided.
+func (c *Core) Hosts() (listed, avoided int) { return c.decide.Hosts() }
+
 // Next is when Woke is next due; infinite if never.
 func (c *Core) Next() float64 {
 	if len(c.timers) == 0 {
@@ -264,6 +273,12 @@
 			Report: ev.Report})
 	case Heard:
 		c.tell(control.Event{Kind: control.Heard, Peer: ev.Peer, Message: ev.Message})
+	case ByHand:
+		kind := control.PutBack
+		if ev.Out {
+			kind = control.TakenOut
+		}
+		c.tell(control.Event{Kind: kind, Engine: ev.Engine})
 	case Woke:
 		c.wake()
 	}
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -67,6 +67,7 @@
 	engines map[string]*machine
 	conns   int
 	tag     int
+	taken   atomic.Int64 // requests written whole
 	Count   Counters
 }
 
@@ -349,6 +350,11 @@
 			}
 		})
 		c.writing.Store(0)
+		for i, cmd := range batch {
+			if cmd.ex != nil && !cmd.ex.probe && ends[i] <= n {
+				p.taken.Add(1)
+			}
+		}
 		if err != nil {
 			// An attempt is out only once it has reached an engine whole.
 			for i, cmd := range batch {
@@ -648,5 +654,8 @@
 	p.host.After(500, p.sweep)
 }
 
+// Taken is how many requests were written whole to engines.
+func (p *Pool) Taken() int { return int(p.taken.Load()) }
+
 // Conns is how many connections there are.
 func (p *Pool) Conns() int { return p.conns }
--- a/internal/mysql/front.go
+++ b/internal/mysql/front.go
@@ -83,21 +83,26 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		f.host.Post(func() {
-			c := &client{f: f, w: newStream(nc), stmts: map[uint32]*stmt{}, since: f.host.Now()}
-			f.Count.Connections++
-			f.lastConn++
-			c.number = f.lastConn
-			f.open[c] = true
-			full := len(f.open) > f.cfg.Limits.Connections && !f.evict()
-			if full {
-				f.Count.TooMany++
-			}
-			go c.serve(full)
-		})
+		f.Take(nc)
 	}
 }
 
+// Take serves a connection.
+func (f *Front) Take(nc net.Conn) {
+	f.host.Post(func() {
+		c := &client{f: f, w: newStream(nc), stmts: map[uint32]*stmt{}, since: f.host.Now()}
+		f.Count.Connections++
+		f.lastConn++
+		c.number = f.lastConn
+		f.open[c] = true
+		full := len(f.open) > f.cfg.Limits.Connections && !f.evict()
+		if full {
+			f.Count.TooMany++
+		}
+		go c.serve(full)
+	})
+}
+
 // evict closes the oldest connection that has not logged in. It guards the
 // places of clients against those that connect by the hundred and say nothing.
 func (f *Front) evict() bool {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -26,6 +26,7 @@
 	Peers      []string      `json:"peers"`
 	PeersAll   string        `json:"peers_all"`
 	Board      string        `json:"board"`
+	Door       string        `json:"control"` // where operators call; none: nowhere
 	Known      board.Notices `json:"known"`
 	Settings   wire.Settings `json:"settings"`
 
@@ -49,6 +50,9 @@
 	if listen := os.Getenv("PROXY_LISTEN"); listen != "" {
 		c.Listen = listen
 	}
+	if door := os.Getenv("PROXY_CONTROL"); door != "" {
+		c.Door = door
+	}
 	if err := c.check(); err != nil {
 		return nil, fmt.Errorf("%s: %v", path, err)
 	}
@@ -65,6 +69,9 @@
 	if _, _, err := net.SplitHostPort(c.Board); c.Board != "" && err != nil {
 		return fmt.Errorf("board: %v", err)
 	}
+	if _, _, err := net.SplitHostPort(c.Door); c.Door != "" && err != nil {
+		return fmt.Errorf("control: %v", err)
+	}
 	if err := c.Known.Check(); err != nil {
 		return fmt.Errorf("known: %v", err)
 	}
--- /dev/null
+++ b/internal/node/desk.go
@@ -0,0 +1,184 @@
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	"dewhill/internal/core"
+	"dewhill/internal/door"
+)
+
+const (
+	lookEvery = 100 * time.Millisecond // at what another process of this front end has changed
+	mostEver  = 16384                  // engines known to have been listed
+	doorShare = 16                     // one descriptor in so many is for operators' calls
+)
+
+// desk is the operators' side of a platform front end: engines taken out by
+// hand, service, figures, and the handing over to a next process.
+type desk struct {
+	n       *Node
+	shelf   *shelf
+	token   string // of this process
+	listen  net.Listener
+	turn    int             // of the shelf, as applied
+	out     map[string]bool // engines
+	ever    map[string]bool // engines that were listed once
+	emptied bool            // out of service
+	next    bool            // another process has taken over
+	seen    os.FileInfo
+}
+
+// newDesk opens the door and takes over what an earlier process left.
+func newDesk(n *Node) (*desk, error) {
+	d := &desk{n: n, shelf: newShelf(n.cfg.Name), token: strconv.FormatUint(rand.Uint64(), 16), out: map[string]bool{},
+		ever: map[string]bool{}}
+	if n.cfg.Door == "" {
+		return d, nil
+	}
+	left, err := d.shelf.read()
+	if err != nil {
+		n.loop.Logf("engines out by hand can't be read: %v", err)
+	}
+	d.apply(left)
+	d.listen, err = listen(n.cfg.Door, false)
+	return d, err
+}
+
+// open serves operators from now on: clients are taken.
+func (d *desk) open() {
+	if d.listen == nil {
+		return
+	}
+	if _, err := d.shelf.change(func(s *shelved) { s.Process = d.token }); err != nil {
+		d.n.loop.Logf("an earlier process can't be told of this one: %v", err)
+	}
+	go d.watch()
+	go door.New(d, d.n.cfg.Limits.Sockets/doorShare).Serve(d.listen)
+}
+
+// watch looks at what another process has changed.
+func (d *desk) watch() {
+	for range time.Tick(lookEvery) {
+		if !d.shelf.changed(&d.seen) {
+			continue
+		}
+		if s, err := d.shelf.read(); err == nil {
+			d.n.loop.ask(func() { d.apply(s) })
+		}
+	}
+}
+
+// replaced reports whether another process of this front end has become ready.
+func (d *desk) replaced() bool {
+	if d.listen == nil {
+		return false
+	}
+	s, err := d.shelf.read()
+	return err == nil && s.Process != d.token
+}
+
+// apply takes over which engines are out. What was read before a later change
+// must not undo it.
+func (d *desk) apply(s shelved) {
+	if s.Turn <= d.turn {
+		return
+	}
+	d.turn = s.Turn
+	for id := range d.out {
+		if !slices.Contains(s.Out, id) {
+			delete(d.out, id)
+			d.n.loop.Logf("engine %s put back by hand", id)
+			d.n.loop.apply(core.ByHand{Engine: id})
+		}
+	}
+	for _, id := range s.Out {
+		if !d.out[id] {
+			d.out[id] = true
+			d.n.loop.Logf("engine %s taken out by hand", id)
+			d.n.loop.apply(core.ByHand{Engine: id, Out: true})
+		}
+	}
+}
+
+// listed notes that an engine was in the list.
+func (d *desk) listed(id string) {
+	if len(d.ever) >= mostEver {
+		clear(d.ever)
+	}
+	d.ever[id] = true
+}
+
+// ByHand takes an engine out or puts it back. The answer comes once the
+// decisions know.
+func (d *desk) ByHand(engine string, out bool) error {
+	known := false
+	d.n.loop.ask(func() { known = d.ever[engine] || d.out[engine] })
+	if !known {
+		return errors.New("never listed")
+	}
+	s, err := d.shelf.change(func(s *shelved) {
+		s.Out = slices.DeleteFunc(s.Out, func(id string) bool { return id == engine })
+		if out {
+			s.Out = append(s.Out, engine)
+		}
+	})
+	if err != nil {
+		d.n.loop.Logf("engines out by hand can't be kept for a next process: %v", err)
+		s.Turn = max(s.Turn, d.shelf.last.Turn)
+	}
+	d.n.loop.ask(func() { d.apply(s) })
+	return nil
+}
+
+// InService empties the front end, or lets it work again.
+func (d *desk) InService(on bool) error {
+	d.n.loop.ask(func() {
+		d.emptied = !on
+		d.n.loop.Logf("in service: %v", on)
+		d.n.front.Away(d.emptied || d.next)
+	})
+	return nil
+}
+
+// Ready reports whether this process takes clients.
+func (d *desk) Ready() (yes bool) {
+	d.n.loop.ask(func() { yes = !d.emptied && !d.next && !d.n.leaving })
+	return yes
+}
+
+// leave hands over to the next process.
+func (d *desk) leave() {
+	d.next = true
+	d.n.front.Away(true)
+}
+
+// calls are the answers to a class's requests.
+type calls struct {
+	Success int `json:"success"`
+	Busy    int `json:"busy"`
+	Failure int `json:"failure"`
+}
+
+// Counters are the figures that operators fetch.
+func (d *desk) Counters() (b []byte) {
+	d.n.loop.ask(func() {
+		n := d.n
+		by := map[string]calls{}
+		for i, c := range n.cfg.Settings.Categories {
+			o := n.front.Count.Classes[i]
+			by[c.Name] = calls{o.Served, o.Refused, o.Failed}
+		}
+		listed, avoided := n.loop.core.Hosts()
+		b, _ = json.Marshal(map[string]any{"calls": by, "inflight": n.loop.Open(), "backend_calls": n.pool.Taken(),
+			"hosts_listed": listed, "hosts_down": avoided, "reconfig_ok": n.count.Reloads,
+			"reconfig_failed": n.count.BadReloads})
+	})
+	return b
+}
--- /dev/null
+++ b/internal/node/desk_test.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"net"
+	"os"
+	"slices"
+	"testing"
+)
+
+// What waits in a listener's backlog is handed over before it closes.
+func TestBacklogIsTaken(t *testing.T) {
+	l, err := listen("127.0.0.1:0", true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next, err := listen(l.Addr().String(), true)
+	if err != nil {
+		t.Fatalf("a second listener on the address: %v", err)
+	}
+	next.Close()
+	var asked []net.Conn
+	for range 5 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		asked = append(asked, c)
+	}
+	taken := 0
+	unlisten(l, func(c net.Conn) { taken++; c.Write([]byte("x")); c.Close() })
+	for _, c := range asked {
+		if _, err := c.Read(make([]byte, 1)); err != nil {
+			t.Errorf("a connection from the backlog: %v", err)
+		}
+	}
+	if taken != 5 {
+		t.Errorf("%d taken, want 5", taken)
+	}
+}
+
+// Two processes see each other's changes and undo none; a file that can't be read
+// is an error, and none at all is a front end's first start.
+func TestShelf(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	a, b := newShelf("n0"), newShelf("n0")
+	var seen os.FileInfo
+	if s, err := b.read(); err != nil || s.Turn != 0 || b.changed(&seen) {
+		t.Fatalf("at first: %+v, %v", s, err)
+	}
+	a.change(func(s *shelved) { s.Process = "a"; s.Out = append(s.Out, "s-1") })
+	if !b.changed(&seen) || b.changed(&seen) {
+		t.Error("a change was not seen once")
+	}
+	b.change(func(s *shelved) { s.Process = "b"; s.Out = append(s.Out, "s-2") })
+	if s, err := a.read(); err != nil || s.Process != "b" || s.Turn != 2 || !slices.Equal(s.Out, []string{"s-1", "s-2"}) {
+		t.Errorf("%+v, %v", s, err)
+	}
+	if err := os.WriteFile(a.path, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := a.read(); err == nil {
+		t.Error("half a file was read")
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -60,6 +60,7 @@
 	core    *core.Core
 	back    backend
 	in      chan func()
+	urgent  chan func() // goes before in
 	jobs    map[string]*job
 	recent  map[string]bool // ids taken lately, so that none is taken twice
 	order   []recent
@@ -89,7 +90,8 @@
 
 func newLoop(name string, s control.Settings, seed uint64) *Loop {
 	l := &Loop{clock: newClock(), name: name, core: core.New(s, seed), in: make(chan func(), queued),
-		jobs: map[string]*job{}, recent: map[string]bool{}}
+		urgent: make(chan func(), queued),
+		jobs:   map[string]*job{}, recent: map[string]bool{}}
 	l.Count.Results = map[string]int{}
 	return l
 }
@@ -98,6 +100,14 @@
 // the loop's own.
 func (l *Loop) Post(f func()) { l.in <- f }
 
+// ask runs a function in the loop ahead of what is posted, and waits for it. It
+// may be called from any goroutine but the loop's own.
+func (l *Loop) ask(f func()) {
+	done := make(chan struct{})
+	l.urgent <- func() { f(); close(done) }
+	<-done
+}
+
 // Now is the loop's clock, in Unix milliseconds.
 func (l *Loop) Now() float64 { return l.now() }
 
@@ -159,6 +169,14 @@
 			wake.Reset(time.Duration(max(0, next-l.Now()) * float64(time.Millisecond)))
 		}
 		select {
+		case f := <-l.urgent:
+			f()
+			continue
+		default:
+		}
+		select {
+		case f := <-l.urgent:
+			f()
 		case f := <-l.in:
 			l.Count.Events++
 			f()
--- a/internal/node/mysql.go
+++ b/internal/node/mysql.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net"
 
 	"dewhill/internal/core"
 	"dewhill/internal/mysql"
@@ -24,13 +23,13 @@
 	return &MySQL{path, c}, nil
 }
 
-func newMySQL(my *MySQL) (*service, error) {
+func newMySQL(my *MySQL, share bool) (*service, error) {
 	cfg := my.Config
 	s, err := cfg.Settings.Control()
 	if err != nil {
 		return nil, err
 	}
-	l, err := net.Listen("tcp", cfg.Listen)
+	l, err := listen(cfg.Listen, share)
 	if err != nil {
 		return nil, err
 	}
@@ -61,5 +60,5 @@
 			loop.Logf("%d engines read", len(c.Engines))
 		})
 	}
-	return &service{loop: loop, listen: l, accept: front.Serve, leave: front.Leave, idle: front.Idle, reload: reload}, nil
+	return &service{loop: loop, listen: l, accept: front.Serve, take: front.Take, leave: func(bool) { front.Leave() }, idle: front.Idle, reload: reload}, nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,6 +49,8 @@
 	count struct {
 		Notices, BoardTroubles, Told, Heard, Strange, Reloads, BadReloads int
 	}
+	desk     *desk
+	leaving  bool
 	drains   int
 	rev      int64  // of the last event that was applied
 	board    string // that is followed
@@ -60,10 +62,14 @@
 	loop    *Loop
 	listen  net.Listener
 	accept  func(net.Listener)
-	leave   func()
+	take    func(net.Conn)      // serves what waited in the backlog
+	leave   func(replaced bool) // the program is to end
 	idle    func() bool
-	reload  func()    // on the signals' goroutine
-	leaveAt time.Time // the loop's: not before it the service ends
+	reload  func()      // on the signals' goroutine
+	started func()      // once clients are taken
+	next    func() bool // whether another process has taken over; on the signals' goroutine
+	leaving bool        // the loop's
+	closed  bool        // and that it takes no more connections
 }
 
 // Run serves until SIGTERM and the last answer: as a platform front end if cfg
@@ -82,7 +88,7 @@
 		all = append(all, s)
 	}
 	if my != nil {
-		s, err := newMySQL(my)
+		s, err := newMySQL(my, cfg != nil && cfg.Door != "")
 		if err != nil {
 			return err
 		}
@@ -95,7 +101,8 @@
 					s.reload() // reads files: not in the loop, where all requests would wait
 					continue
 				}
-				s.loop.Post(func() { s.signalled(sig) })
+				replaced := sig == syscall.SIGTERM && all[0].next != nil && all[0].next()
+				s.loop.Post(func() { s.signalled(sig, replaced) })
 			}
 		}
 	}()
@@ -111,17 +118,23 @@
 	return nil
 }
 
-func (s *service) signalled(sig os.Signal) {
+// signalled takes a signal. Where another process has taken over, clients reach
+// that one, and this one takes in only what waits in its backlog.
+func (s *service) signalled(sig os.Signal, replaced bool) {
 	switch {
 	case sig == syscall.SIGUSR1:
 		s.loop.Logf("counters: %s", s.loop.Report())
-	case s.leaveAt.IsZero():
-		s.loop.Logf("%v: finishing what is taken", sig)
-		s.leaveAt = time.Now().Add(acceptFor)
-		s.leave()
-		time.AfterFunc(acceptFor, func() {
-			s.listen.Close()
-			s.loop.Post(func() {})
+	case !s.leaving:
+		s.loop.Logf("%v: finishing what is taken, replaced: %v", sig, replaced)
+		s.leaving = true
+		s.leave(replaced)
+		wait := acceptFor
+		if replaced {
+			wait = 0
+		}
+		time.AfterFunc(wait, func() {
+			unlisten(s.listen, s.take)
+			s.loop.Post(func() { s.closed = true })
 		})
 	}
 }
@@ -129,9 +142,10 @@
 func (s *service) run() {
 	go s.accept(s.listen)
 	s.loop.Logf("listens on %s", s.listen.Addr())
-	s.loop.run(func() bool {
-		return !s.leaveAt.IsZero() && time.Now().After(s.leaveAt) && s.loop.core.Open() == 0 && s.idle()
-	})
+	if s.started != nil {
+		s.started()
+	}
+	s.loop.run(func() bool { return s.closed && s.loop.core.Open() == 0 && s.idle() })
 	// What is posted from here on belongs to connections that end with the program.
 	go func() {
 		for range s.loop.in {
@@ -170,12 +184,16 @@
 	n.front = rest.New(n.loop, rest.Options{Classes: classes, Connections: cfg.Limits.Sockets / 2,
 		MemoryMB: cfg.Limits.MemoryMB, WaitMs: int(orElse(limits.MaxRetryAfterMs, 500))})
 	n.loop.report = n.report
-	l, err := net.Listen("tcp", cfg.Listen)
+	share := cfg.Door != "" // upgrades are the operators'
+	if n.desk, err = newDesk(n); err != nil {
+		return nil, fmt.Errorf("control: %v", err)
+	}
+	l, err := listen(cfg.Listen, share)
 	if err != nil {
 		return nil, err
 	}
 	if cfg.PeerListen != "" && s.MayTell {
-		if n.link, err = peer.Open(cfg.PeerListen, cfg.Peers, cfg.PeersAll, s.Self); err != nil {
+		if n.link, err = peer.Open(sharing(share), cfg.PeerListen, cfg.Peers, cfg.PeersAll, s.Self); err != nil {
 			return nil, fmt.Errorf("peers: %v", err)
 		}
 		n.loop.tell = n.tell
@@ -185,13 +203,28 @@
 	}
 	n.notices(&cfg.Known)
 	n.follow(cfg.Board)
-	return &service{loop: n.loop, listen: l, accept: n.front.Serve, leave: n.front.Leave, idle: n.front.Idle,
+	return &service{loop: n.loop, listen: l, accept: n.front.Serve, take: n.front.Take, leave: n.leave, idle: n.front.Idle,
+		started: n.desk.open, next: n.desk.replaced,
 		reload: func() {
 			cfg, err := ReadConfig(n.cfg.path)
 			n.loop.Post(func() { n.reload(cfg, err) })
 		}}, nil
 }
 
+// leave tells all parts that the program is to end. Peers hear from one process
+// of a front end at a time.
+func (n *Node) leave(replaced bool) {
+	n.leaving = true
+	n.front.Leave()
+	if replaced {
+		n.desk.leave()
+		if n.link != nil {
+			n.loop.tell = nil
+			n.link.Close()
+		}
+	}
+}
+
 // reload takes over what a new configuration changes while the program runs:
 // where the notice board is, and what it has told so far. All else is for the
 // next start. What can't be read changes nothing.
@@ -271,6 +304,7 @@
 			if n.drains++; n.drains < mostLogged {
 				n.loop.Logf("engine %s at %s: %s, born %.0f", h.ID, h.Dial, h.Health, h.BornMs)
 			}
+			n.desk.listed(h.ID)
 			n.pool.Place(h.ID, h.Dial, h.Health == "left")
 			listed[h.ID] = true
 		}
--- a/internal/node/standin_test.go
+++ b/internal/node/standin_test.go
@@ -168,6 +168,7 @@
 	t    *testing.T
 	addr string
 	path string // of its configuration
+	tmp  string // its $TMPDIR
 	prog *testprog.Program
 }
 
@@ -191,7 +192,7 @@
 
 func start(t *testing.T, board string, sockets int, engines ...*engine) *front {
 	t.Helper()
-	f := &front{t: t, addr: testprog.FreeAddr(t)}
+	f := &front{t: t, addr: testprog.FreeAddr(t), tmp: t.TempDir()}
 	cfg := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":%d},
 		"peer_listen":%q,"peers":["127.0.0.1:1","127.0.0.1:2"],"board":%q,
 		"known":{"rev":1,"notices":[{"rev":1,"pool":{"seq":1,"whole":true,"hosts":[%s]}}]},"settings":%s}`,
@@ -201,7 +202,7 @@
 		t.Fatal(err)
 	}
 	f.path = path
-	f.prog = testprog.Start(t, []string{"PROXY_CONFIG=" + path, "PROXY_NAME=", "PROXY_LISTEN="})
+	f.prog = f.run(os.Getenv("PROXY_CONTROL"))
 	testprog.Until(t, "the front end to be healthy", func() bool {
 		c, err := net.Dial("tcp", f.addr)
 		if err != nil {
@@ -215,6 +216,25 @@
 	return f
 }
 
+// run starts a process of the front end, with a door at an address or none.
+func (f *front) run(door string) *testprog.Program {
+	return testprog.Start(f.t, []string{"PROXY_CONFIG=" + f.path, "PROXY_NAME=", "PROXY_LISTEN=", "TMPDIR=" + f.tmp,
+		"PROXY_CONTROL=" + door})
+}
+
+// call makes an operator's call; status 0: nobody answers.
+func call(door, method, path string) (status int, body []byte) {
+	c, err := net.Dial("tcp", door)
+	if err != nil {
+		return 0, nil
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(testprog.Patience))
+	fmt.Fprintf(c, "%s /control/%s HTTP/1.1\r\nHost: x\r\n\r\n", method, path)
+	status, _, body = read(bufio.NewReader(c))
+	return status, body
+}
+
 // client is a client's connection.
 type client struct {
 	t *testing.T
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -2,6 +2,7 @@
 package peer
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/netip"
@@ -21,7 +22,7 @@
 
 // Open binds the socket. A message goes to all, or where that is empty to each
 // peer but self.
-func Open(listen string, peers []string, all string, self int) (*Link, error) {
+func Open(how *net.ListenConfig, listen string, peers []string, all string, self int) (*Link, error) {
 	l := &Link{from: map[netip.AddrPort]int{}}
 	for i, p := range peers {
 		addr, err := netip.ParseAddrPort(p)
@@ -41,12 +42,12 @@
 		}
 		l.to = []netip.AddrPort{addr}
 	}
-	addr, err := netip.ParseAddrPort(listen)
+	c, err := how.ListenPacket(context.Background(), "udp", listen)
 	if err != nil {
 		return nil, err
 	}
-	l.c, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
-	return l, err
+	l.c = c.(*net.UDPConn)
+	return l, nil
 }
 
 // Send sends a message to all peers. It may be lost.
--- a/internal/rest/front.go
+++ b/internal/rest/front.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"dewhill/internal/core"
@@ -34,10 +35,14 @@
 	Connections, Calls, Requests, Malformed, Overload, Abandoned int
 	Served, Refused, Failed, Polls, LostWriters                  int
 	AcceptErrors                                                 int
-	Silent, TooSlow, NotTaken, Idle, Evicted                     int            // connections closed by the front, by cause
+	Silent, TooSlow, NotTaken, Idle, Evicted, SentAway           int            // connections closed by the front, by cause
 	Wrong                                                        map[string]int // messages rejected, by cause
+	Classes                                                      []Outcomes     // of requests, by class
 }
 
+// Outcomes count the answers to a class's requests.
+type Outcomes struct{ Served, Refused, Failed int }
+
 const (
 	prefix = "/api/v2/"
 	polls  = "/polls/"
@@ -71,12 +76,14 @@
 	open    map[string]*exchange
 	kept    []string // ids of exchanges whose answer is kept, oldest first
 	leaving bool
-	wait    int // what Srv-Wait-Ms says where the front itself refuses
+	away    bool // clients are sent away
+	wait    int  // what Srv-Wait-Ms says where the front itself refuses
 }
 
 // exchange is a request from its first call to the end of its last answer.
 type exchange struct {
 	id     string
+	class  int
 	conn   *conn // that waits for an answer, or nil
 	path   bool  // the client has been given a path
 	calls  int   // made so far, to know an outdated hold
@@ -124,6 +131,7 @@
 		slots: make(chan struct{}, o.Connections+o.Connections/4), open: map[string]*exchange{}, wait: o.WaitMs,
 		limits: o.Classes, body: mostBody}
 	f.Count.Wrong = map[string]int{}
+	f.Count.Classes = make([]Outcomes, len(o.Classes))
 	if o.MemoryMB > 0 {
 		// Guards the memory where every connection sends as much as it may.
 		f.body = min(mostBody, max(leastBody, o.MemoryMB<<20/8/max(1, cap(f.slots))))
@@ -154,10 +162,13 @@
 			f.Count.TooSlow++
 			f.reject(c, &badCall{408, "the message does not end"})
 		case c.busy.Load():
+		case f.away && now-quiet > quietFor && !pending(c.nc):
+			f.Count.SentAway++
+			f.end(c)
 		case c.calls == 0 && now-quiet > messageIn:
 			f.Count.Silent++
 			f.end(c)
-		case now-quiet > idleFor:
+		case now-quiet > idleFor && !pending(c.nc):
 			f.Count.Idle++
 			f.end(c)
 		}
@@ -179,7 +190,7 @@
 	for c := range f.conns {
 		r, q := 2, c.quiet.Load()
 		switch {
-		case c.closed || c.busy.Load():
+		case c.closed || c.busy.Load() || pending(c.nc):
 			continue
 		case c.ending:
 			r = 0
@@ -216,13 +227,29 @@
 			time.Sleep(acceptGap)
 			continue
 		}
-		c := f.conn(nc)
-		f.host.Post(func() { f.accept(c) })
-		go f.read(c)
-		go f.write(c)
+		f.take(nc)
 	}
 }
 
+// take serves a connection that has a place.
+func (f *Front) take(nc net.Conn) {
+	c := f.conn(nc)
+	f.host.Post(func() { f.accept(c) })
+	go f.read(c)
+	go f.write(c)
+}
+
+// Take serves a connection that was accepted elsewhere. It waits for a place.
+func (f *Front) Take(nc net.Conn) {
+	f.slots <- struct{}{}
+	f.take(nc)
+}
+
+// Away sends clients away, or ends that: while it holds, the front says that it
+// isn't healthy, each request's answer is the last on its connection, and idle
+// connections are closed.
+func (f *Front) Away(on bool) { f.away = on }
+
 func (f *Front) conn(nc net.Conn) *conn {
 	c := &conn{nc: nc, out: make(chan *response, 4), answered: make(chan bool, 4)}
 	c.quiet.Store(int64(f.host.Now()))
@@ -313,6 +340,24 @@
 	c.shut()
 }
 
+// pending reports whether something has come in that is not read yet. It guards
+// requests that cross the close of an idle connection: where the program's core
+// is taken, they may lie there unread for long.
+func pending(nc net.Conn) bool {
+	s, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	n := 0
+	if err == nil {
+		raw.Control(func(fd uintptr) {
+			n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		})
+	}
+	return n > 0
+}
+
 // end closes a connection of the front's own accord.
 func (f *Front) end(c *conn) {
 	f.gone(c)
@@ -354,6 +399,8 @@
 	if c.closed {
 		return
 	}
+	// The call of a path comes on the same connection.
+	r.last = r.last || f.away && r.poll == ""
 	c.ex, c.ending = nil, r.last
 	select {
 	case c.out <- r:
@@ -379,7 +426,7 @@
 	case c.closed || c.ending: // it was told that its message came too slowly
 	case m.method == "GET" && m.path == "/-/healthy":
 		status := 200
-		if f.leaving {
+		if f.leaving || f.away {
 			status = 503
 		}
 		f.reply(c, &response{status: status, body: []byte("{}"), last: m.last})
@@ -395,6 +442,9 @@
 			if !errors.As(err, &wrong) {
 				wrong = &badCall{409, err.Error()}
 			}
+			if class, ok := f.classes[strings.TrimPrefix(m.path, prefix)]; ok {
+				f.Count.Classes[class].Failed++
+			}
 			f.reject(c, wrong)
 		}
 	default:
@@ -456,10 +506,11 @@
 		// Guards the budget of descriptors: a client over it is told to come back.
 		f.Count.Overload++
 		f.Count.Refused++
+		f.Count.Classes[r.Class].Refused++
 		f.reply(c, &response{status: 503, waitMs: f.wait, body: errBody("Rejected"), last: true})
 		return nil
 	}
-	ex := &exchange{id: r.ID}
+	ex := &exchange{id: r.ID, class: r.Class}
 	if f.open[r.ID] != nil {
 		return bad(409, "Req-Id is in use")
 	}
@@ -494,16 +545,20 @@
 // finish takes the final answer and gives it to the call that waits for it.
 func (f *Front) finish(ex *exchange, a core.Answer, result any) {
 	ex.done = true
+	class := &f.Count.Classes[ex.class]
 	switch a.Outcome {
 	case core.Served:
 		f.Count.Served++
+		class.Served++
 		pages, _ := result.([][]byte)
 		ex.chunks = chunks(pages)
 	case core.Refused:
 		f.Count.Refused++
+		class.Refused++
 		ex.final = response{status: 503, waitMs: int(math.Ceil(a.Wait)), body: errBody("Rejected")}
 	default:
 		f.Count.Failed++
+		class.Failed++
 		ex.final = response{status: 502, body: errBody("Failed")}
 		if a.Late {
 			ex.final = response{status: 504, body: errBody("Deadline")}
@@ -614,7 +669,9 @@
 // Idle reports whether nothing is owed to any client.
 func (f *Front) Idle() bool {
 	for c := range f.conns {
-		if c.busy.Load() && !c.ending && !c.closed {
+		// Where clients are sent away, each connection is closed or has its last
+		// answer before the program ends: one just accepted may carry a request.
+		if !c.closed && (c.busy.Load() || f.away && !c.ending) {
 			return false
 		}
 	}
