A gateway tells its demand as if it had been up for long: upgraded front ends keep their share

Line at fault: control.go share() set the sums of what this gateway was asked for, which decay over 5 s and start from nothing with the process, beside what peers had summed up for long. So the new process held its share at half of an even one for seconds, and with it the places for dashboards (mostDash) and the ceiling of C. Checked against what peers told: their sums were full. Ruled out: the door, lost connections, descriptors (157 of 384).

Now what is told, and what is set beside it, is divided by the part that the sum can have reached since the start; in the first second the share is even.

--- a/control/control.go
+++ b/control/control.go
@@ -66,6 +66,7 @@
 	leftLeast    = 0.2    // part of its expected time that an attempt has left at the least
 	advice       = 100.0  // ms that a refused client is told to stay away: sweeps find room well within it
 	rateHalf     = 5000.0 // ms over which the demand told to peers is averaged
+	demandFrom   = 1000.0 // ms after a start from which it tells anything
 )
 
 func (m *mean) add(x float64) {
@@ -402,18 +403,18 @@
 // share is this gateway's part of the work: by demand where peers tell theirs.
 func (g *Gateway) share() float64 {
 	even := 1 / float64(g.s.Gateways)
-	if len(g.peers) == 0 || g.asked[0] == 0 {
+	if len(g.peers) == 0 || g.asked[0] == 0 || g.now < g.bornAt+demandFrom {
 		return even
 	}
-	return min(1, max(even/2, g.asked[0]/g.total(0)))
+	return min(1, max(even/2, g.demand(0)/g.total(0)))
 }
 
 // total is what all gateways were asked for: secondary work, or a tenant's requests; alike, if none tells.
 func (g *Gateway) total(i int) float64 {
 	if len(g.peers) == 0 {
-		return g.asked[i] * float64(g.s.Gateways)
+		return g.demand(i) * float64(g.s.Gateways)
 	}
-	all := g.asked[i] + g.told[i]
+	all := g.demand(i) + g.told[i]
 	if g.now < g.bornAt+g.tellEvery() { // the others have not had their turn to tell yet
 		all *= float64(g.s.Gateways) / float64(1+len(g.peers))
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -392,17 +392,20 @@
 	fewGateways = 8   // gateways that tell one another of each load at once
 )
 
-// tell tells peers what this gateway was asked for and which loads it has out, when that is due or a load
-// has moved. It tells all of it each time, as any message may be lost.
-func (g *Gateway) tell(due bool) {
-	if !due && !(g.moved && g.s.Gateways <= fewGateways) || !g.s.MayTell || g.s.Gateways < 2 {
-		return
+// demand is what this gateway was asked for, as it would stand had it been up for long: sums that decay grow
+// from nothing at a start. It guards the share of a gateway that was restarted or replaced beside others that
+// were not.
+func (g *Gateway) demand(i int) float64 {
+	return g.asked[i] / (1 - math.Exp2(-max(g.now-g.bornAt, demandFrom)/rateHalf))
+}
+
+// message is what peers are told.
+func (g *Gateway) message() []byte {
+	said := make([]float64, len(g.asked))
+	for i := range said {
+		said[i] = g.demand(i)
 	}
-	if g.moved = false; due {
-		g.tellAt = g.now + g.tellEvery()
-		g.sum(g.now - peerStale*g.tellEvery())
-	}
-	msg := bytesOf(g.asked)
+	msg := bytesOf(said)
 	if g.s.Gateways <= fewGateways {
 		for _, e := range g.engines {
 			for _, dataset := range e.loads {
@@ -413,7 +416,20 @@
 			}
 		}
 	}
-	g.act(Action{Kind: Tell, Message: msg})
+	return msg
+}
+
+// tell tells peers what this gateway was asked for and which loads it has out, when that is due or a load
+// has moved. It tells all of it each time, as any message may be lost.
+func (g *Gateway) tell(due bool) {
+	if !due && !(g.moved && g.s.Gateways <= fewGateways) || !g.s.MayTell || g.s.Gateways < 2 {
+		return
+	}
+	if g.moved = false; due {
+		g.tellAt = g.now + g.tellEvery()
+		g.sum(g.now - peerStale*g.tellEvery())
+	}
+	g.act(Action{Kind: Tell, Message: g.message()})
 }
 
 // unheard reports whether an engine has given no sign of life since an attempt went out, and this gateway
