--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/textproto"
 	"net/url"
@@ -117,7 +118,7 @@
 var errCall = errors.New("malformed call")
 
 // readCall reads one call, and its body away.
-func readCall(c net.Conn) (method, path string, err error) {
+func readCall(c io.Reader) (method, path string, err error) {
 	b := lines.New(c, mostHead)
 	first, fields, err := b.Head()
 	var text textproto.ProtocolError
