--- a/control/control.go
+++ b/control/control.go
@@ -62,6 +62,9 @@
 	dashPriority = 3      // of dashboards, the highest; other work keeps the engine's usual 1
 	openMost     = 0.85   // part of the places for open requests above which some are ended
 	openFull     = 0.97   // and above which that does not wait for the next sweep
+	lockShare    = 0.5    // part of the engines that may have a load of a data set: readers need others
+	lockUrgent   = 0.8    // and for loads that have little time left:
+	urgent       = 2.0    // this many times what they are expected to take
 	lindy        = 0.5    // part of its delay so far that an attempt out too long is given to go on
 	leftLeast    = 0.2    // part of its expected time that an attempt has left at the least
 	advice       = 100.0  // ms that a refused client is told to stay away: sweeps find room well within it
@@ -228,11 +231,15 @@
 		loads = g.home(r.dataset, nil)
 	}
 	homes := g.home(r.dataset, r.cl)
+	all, locked := 0.0, 0.0 // engines that are usable, if full, and those with a load of the data set
 	least, ties := math.Inf(1), 0
 	for _, e := range g.engines {
 		if !g.usable(e, r) {
 			continue
 		}
+		if all++; g.loaded(e, r.dataset) {
+			locked++
+		}
 		v := score(e)
 		if math.IsInf(v, 1) {
 			continue
@@ -257,18 +264,25 @@
 			}
 		}
 	}
+	if best != nil && g.apart(r, best, all, locked) {
+		return nil
+	}
 	return best
 }
 
-// rank orders engines for the loads of a data set, alike at every gateway.
-func (e *engine) rank(dataset int) float64 {
-	if x, ok := e.ranks[dataset]; ok {
-		return x
+// apart reports whether a request is better held than sent to the engine: a reader that would stand still
+// while an engine without a load of the data set is there, or a load that would leave too few of those. It
+// guards against loads of few data sets that spread until readers stand still everywhere, and hold the places
+// of others there. A load that has little time left may go to more.
+func (g *Gateway) apart(r *request, e *engine, all, locked float64) bool {
+	if !r.cl.Load {
+		return r.cl.Waits && locked < all && g.loaded(e, r.dataset)
 	}
-	x := rand.New(rand.NewPCG(hash(e.ID, float64(dataset)), 0)).Float64()
-	bound(e.ranks)
-	e.ranks[dataset] = -e.weight / math.Log(x)
-	return e.ranks[dataset]
+	share := lockShare
+	if g.now+urgent*g.lasts(r) > g.due(r) {
+		share = lockUrgent
+	}
+	return locked > 0 && locked+1 > all*share
 }
 
 // home is where loads of a data set go first, or, where engines are pooled, a few engines: readers that
@@ -409,21 +423,6 @@
 	return min(1, max(even/2, g.demand(0)/g.total(0)))
 }
 
-// total is what all gateways were asked for: secondary work, or a tenant's requests; alike, if none tells.
-func (g *Gateway) total(i int) float64 {
-	if len(g.peers) == 0 {
-		return g.demand(i) * float64(g.s.Gateways)
-	}
-	all := g.demand(i) + g.told[i]
-	if g.now < g.bornAt+g.tellEvery() { // the others have not had their turn to tell yet
-		all *= float64(g.s.Gateways) / float64(1+len(g.peers))
-	}
-	return all
-}
-
-// tellEvery is the time between messages to peers.
-func (g *Gateway) tellEvery() float64 { return max(1000, peerEvery*float64(g.s.Gateways)) }
-
 // inShare is the part of its tenant's requests within its share. It guards the others against a flood.
 func (g *Gateway) inShare(r *request) float64 {
 	if r.tenant < 0 || r.tenant >= len(g.s.Tenants) || g.s.Tenants[r.tenant].PerSecond <= 0 {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -590,9 +590,11 @@
 }
 
 // Loads of a data set keep together at its home, where readers don't go, and
-// a second one goes to the next engine, as it would stand still at the first.
+// a second one goes to the next engine, as it would stand still at the first. A
+// third is held: half of the engines are left to readers, until it has little
+// time. A reader is held rather than sent behind a load while there are others.
 func TestLoadsKeepAwayFromReaders(t *testing.T) {
-	tr := newTrial(t, one(), engines("a", "b", "c")...)
+	tr := newTrial(t, one(), engines("a", "b", "c", "d")...)
 	home := tr.g.home(7, nil)[0].ID
 	load := func(id string) string {
 		tr.do(Event{Kind: Arrived, Req: id, Class: 2, GiveUpAt: tr.now + 9000, Work: 500, Dataset: 7, Key: id})
@@ -608,6 +610,41 @@
 			t.Errorf("a reader went to %s, beside a load", e)
 		}
 	}
+	before := len(tr.sends)
+	load("l3")
+	if len(tr.sends) != before {
+		t.Errorf("a third load went to %s", tr.sends[before].Engine)
+	}
+	tr.run(10 * sweepEvery)
+	if third := tr.g.byReq["l3"]; len(third.tries) != 0 || third.over {
+		t.Errorf("the third load did not wait: %+v", third)
+	}
+	for i := range 200 { // more than the two free engines have places for
+		tr.do(Event{Kind: Arrived, Req: fmt.Sprint("r", i), Class: 0, GiveUpAt: tr.now + 2000, Work: 50, Dataset: 7})
+	}
+	for _, s := range tr.sends[before:] {
+		if s.Engine == first || s.Engine == second {
+			t.Fatalf("a reader went to %s, behind a load", s.Engine)
+		}
+	}
+}
+
+// A load that is held for the sake of readers goes out while there is time for it.
+func TestHeldLoadGoesInTime(t *testing.T) {
+	tr := newTrial(t, one(), engines("a", "b", "c", "d")...)
+	for i := range 3 {
+		tr.do(Event{Kind: Arrived, Req: fmt.Sprint(i), Class: 2, GiveUpAt: tr.now + 9000, Work: 500, Dataset: 7, Key: fmt.Sprint(i)})
+	}
+	third := tr.g.byReq["2"]
+	if len(third.tries) != 0 {
+		t.Fatal("the third load did not wait")
+	}
+	for len(third.tries) == 0 && !third.over {
+		tr.run(sweepEvery)
+	}
+	if left := tr.g.due(third) - tr.now; len(third.tries) != 1 || left < tr.g.lasts(third) || left > urgent*tr.g.lasts(third) {
+		t.Errorf("the third load was sent %d times, %.0f ms before it is due", len(third.tries), left)
+	}
 }
 
 // Many gateways must not each put a whole piece on every engine.
--- a/control/state.go
+++ b/control/state.go
@@ -222,6 +222,17 @@
 	})
 }
 
+// rank orders engines for the loads of a data set, alike at every gateway.
+func (e *engine) rank(dataset int) float64 {
+	if x, ok := e.ranks[dataset]; ok {
+		return x
+	}
+	x := rand.New(rand.NewPCG(hash(e.ID, float64(dataset)), 0)).Float64()
+	bound(e.ranks)
+	e.ranks[dataset] = -e.weight / math.Log(x)
+	return e.ranks[dataset]
+}
+
 // admit settles whether an engine may be used.
 func (g *Gateway) admit(e *engine) {
 	_, out := g.handed[e.ID]
@@ -392,6 +403,21 @@
 	fewGateways = 8   // gateways that tell one another of each load at once
 )
 
+// total is what all gateways were asked for: secondary work, or a tenant's requests; alike, if none tells.
+func (g *Gateway) total(i int) float64 {
+	if len(g.peers) == 0 {
+		return g.demand(i) * float64(g.s.Gateways)
+	}
+	all := g.demand(i) + g.told[i]
+	if g.now < g.bornAt+g.tellEvery() { // the others have not had their turn to tell yet
+		all *= float64(g.s.Gateways) / float64(1+len(g.peers))
+	}
+	return all
+}
+
+// tellEvery is the time between messages to peers.
+func (g *Gateway) tellEvery() float64 { return max(1000, peerEvery*float64(g.s.Gateways)) }
+
 // demand is what this gateway was asked for, as it would stand had it been up for long: sums that decay grow
 // from nothing at a start. It guards the share of a gateway that was restarted or replaced beside others that
 // were not.
