Engine connections that fall quiet get nothing new, each judged by itself

Lines at fault: pool.go pick() asked when the engine was last heard on any connection. So once a second connection answered, the quiet one counted as good again, and as the one with most open it was preferred. Ruled out: the engines themselves (shut out for silence 7 times only), garbage (none), clients that left (h < 300 ms).

Now a connection that owes a word and has said nothing for 500 ms gets nothing new until it speaks; with four such to an engine the youngest is used.

--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -45,13 +45,15 @@
 	Words                                   map[string]int
 	LateAnswers, PagesLost, Probes, NoConn  int
 	SecondCopies                            int // of answers and pages
+	Quiet                                   int // connections opened as others to the engine had fallen quiet
 	Unsent                                  int // requests whose connection ended before it had taken them whole
 	LostWith                                int // requests that ended with a connection, not by an answer of their own
 }
 
 const (
 	probeTimeout = 250    // ms
-	silentAfter  = 1000   // ms without a sign of life after which a connection is not trusted alone
+	quietAfter   = 500    // ms for which a connection may owe a word and say nothing: then nothing new goes there
+	mostQuiet    = 4      // such connections to an engine, past which the youngest is used all the same
 	writeIn      = 5000.0 // ms for an engine to take what is written
 	doubtMs      = 10000  // ms for which answers to an id may still come after its end
 	wordMs       = 10     // ms that a word to an engine may take on its way
@@ -77,7 +79,6 @@
 	id, addr string
 	gone     bool
 	conns    []*conn
-	heardAt  float64
 	out      map[string]*exchange // by request
 }
 
@@ -92,6 +93,7 @@
 	killed map[string]bool // ids given up here: their answers may still come
 	past   map[string]bool // ids that ended here without a result: a second copy may still come
 	idleAt float64         // since when nothing is open
+	owesAt float64         // when it last said something, or began to owe a word
 
 	writing atomic.Int64 // when what is being written began; 0: nothing is
 }
@@ -190,6 +192,9 @@
 
 // put opens an exchange on a connection.
 func (p *Pool) put(c *conn, ex *exchange) {
+	if !c.owes() {
+		c.owesAt = p.host.Now()
+	}
 	ex.conn = c
 	c.open[ex.id] = ex
 	if c.up {
@@ -212,30 +217,38 @@
 
 // pick returns a connection for a request, or nil. The same id must not be
 // open, given up or ended there: an answer, or a second copy of one, could belong
-// to either attempt. And
-// a connection with work on which nothing was heard for long may lead to a
-// machine that has vanished, so a new one has to come up first; what waits for
-// that one never ran.
+// to either attempt. And a connection that owes a word and says nothing may have
+// fallen quiet, or lead to a machine that has vanished, whatever others to the
+// engine say: a new one has to come up first, and what waits for that never ran.
 func (p *Pool) pick(m *machine, id string) *conn {
-	var best *conn
-	silent := p.host.Now()-m.heardAt > silentAfter
+	var best, quiet *conn
+	quiets := 0
 	for _, c := range m.conns {
 		if c.dead || c.addr != m.addr || len(c.open) >= p.o.Streams || c.open[id] != nil || c.killed[id] || c.past[id] {
 			continue
 		}
-		if c.up && silent && len(c.open)+len(c.killed) > 0 {
+		if c.up && c.owes() && p.host.Now()-c.owesAt > quietAfter {
+			quiets++
+			quiet = c
 			continue
 		}
 		if best == nil || c.up && !best.up || c.up == best.up && len(c.open) > len(best.open) {
 			best = c
 		}
 	}
+	if best == nil && quiets >= mostQuiet {
+		best = quiet
+	}
 	if best != nil {
 		return best
 	}
+	p.Count.Quiet += min(quiets, 1)
 	return p.dial(m)
 }
 
+// owes reports whether the engine may still have something to say here.
+func (c *conn) owes() bool { return len(c.open)+len(c.killed) > 0 }
+
 func (p *Pool) dial(m *machine) *conn {
 	if p.conns >= p.o.MostConns && !p.spare() {
 		return nil
@@ -281,7 +294,7 @@
 		}
 		return
 	}
-	c.nc, c.up, c.idleAt, c.m.heardAt = nc, true, p.host.Now(), p.host.Now()
+	c.nc, c.up, c.idleAt, c.owesAt = nc, true, p.host.Now(), p.host.Now()
 	go p.read(c)
 	go p.write(c)
 	waiting := make([]*exchange, 0, len(c.open))
@@ -530,7 +543,7 @@
 	if c.dead {
 		return
 	}
-	c.m.heardAt = p.host.Now()
+	c.owesAt = p.host.Now()
 	p.Count.Words[r.word]++
 	ex := c.open[r.id]
 	if ex == nil {
--- a/internal/engine/pool_test.go
+++ b/internal/engine/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -14,10 +15,11 @@
 type host struct {
 	posts chan func()
 	ended map[string]control.Result
+	now   float64
 }
 
 func (h *host) Post(f func())           { h.posts <- f }
-func (h *host) Now() float64            { return 1000 }
+func (h *host) Now() float64            { return 1000 + h.now }
 func (h *host) After(float64, func())   {}
 func (h *host) Probed(core.Probed)      {}
 func (h *host) Logf(_ string, _ ...any) {}
@@ -43,7 +45,7 @@
 	nc, _ := net.Pipe()
 	c := &conn{m: m, addr: m.addr, up: true, out: make(chan command, queued), open: map[string]*exchange{},
 		killed: map[string]bool{}, past: map[string]bool{}}
-	m.conns, m.heardAt, p.conns = []*conn{c}, 1000, 1
+	m.conns, p.conns = []*conn{c}, 1
 	first := "PULL a c=load,w=500,nice=1 1\r\nx\r\n"
 	c.nc = &short{nc, len(first) + 7}
 	for _, id := range []string{"a", "b", "c"} {
@@ -66,6 +68,58 @@
 	}
 }
 
+// A connection that owes a word and has said nothing for a while gets nothing new,
+// though others to its engine speak, until it speaks; where too many are like
+// that, the youngest is used.
+func TestQuietConnection(t *testing.T) {
+	h := &host{posts: make(chan func(), 64), ended: map[string]control.Result{}}
+	p := New(h, Options{Classes: []string{"load"}, Streams: 32, MostConns: 9, Idle: time.Minute, ConnectTimeout: time.Minute})
+	p.Place("s-1", "127.0.0.1:1", false)
+	m := p.engines["s-1"]
+	open := func() *conn {
+		nc, _ := net.Pipe()
+		c := &conn{m: m, addr: m.addr, up: true, nc: nc, out: make(chan command, queued), open: map[string]*exchange{},
+			killed: map[string]bool{}, past: map[string]bool{}}
+		m.conns, p.conns = append(m.conns, c), p.conns+1
+		return c
+	}
+	n := 0
+	ask := func() *conn {
+		n++
+		p.Start(core.Start{ID: fmt.Sprint(n), Engine: "s-1", Until: 9000, Priority: 1}, 0, []byte("x"))
+		return m.out[key(fmt.Sprint(n), 0)].conn
+	}
+	a := open()
+	h.now += 10 * quietAfter // idle for long is not quiet
+	for range 3 {
+		if ask() != a {
+			t.Fatal("not sent on the connection there is")
+		}
+	}
+	h.now += quietAfter + 1
+	b := open()
+	if ask() != b {
+		t.Error("sent on a connection that has fallen quiet")
+	}
+	p.answer(b, &reply{id: "nobody", word: "ACK"})
+	if ask() != b {
+		t.Error("the quiet connection has more open, and was preferred")
+	}
+	p.answer(a, &reply{id: "1", word: "AGAIN"})
+	if ask() != a {
+		t.Error("a connection that speaks again is not used")
+	}
+	for range mostQuiet - 2 {
+		h.now += quietAfter + 1
+		open()
+		ask()
+	}
+	h.now += quietAfter + 1
+	if got := ask(); got != m.conns[mostQuiet-1] || len(m.conns) != mostQuiet {
+		t.Errorf("with %d quiet connections the youngest is not used", mostQuiet)
+	}
+}
+
 // An engine that has gone is forgotten, with its connections or without any.
 func TestGoneEnginesAreForgotten(t *testing.T) {
 	p := New(&host{}, Options{})
