A load out for eight times its expected time is given up where others of its key wait

Line at fault: control.go look() let what must not be repeated stand until its deadline, so one lost answer refused all of its key for 10 s. Ruled out: the engines (they answer others on the same connection within 150 ms), key order as such (the rest after an attempt is far shorter).

Now such a load is cancelled and has failed at once; the key rests as after any attempt that may run on. Without followers nothing changes.

--- a/control/control.go
+++ b/control/control.go
@@ -65,6 +65,7 @@
 	lockShare    = 0.5    // part of the engines that may have a load of a data set: readers need others
 	lockUrgent   = 0.8    // and for loads that have little time left:
 	urgent       = 2.0    // this many times what they are expected to take
+	lostAfter    = 8.0    // times its expected time after which what must not be repeated is given up
 	lindy        = 0.5    // part of its delay so far that an attempt out too long is given to go on
 	leftLeast    = 0.2    // part of its expected time that an attempt has left at the least
 	advice       = 100.0  // ms that a refused client is told to stay away: sweeps find room well within it
@@ -423,15 +424,6 @@
 	return min(1, max(even/2, g.demand(0)/g.total(0)))
 }
 
-// inShare is the part of its tenant's requests within its share. It guards the others against a flood.
-func (g *Gateway) inShare(r *request) float64 {
-	if r.tenant < 0 || r.tenant >= len(g.s.Tenants) || g.s.Tenants[r.tenant].PerSecond <= 0 {
-		return 1
-	}
-	perSecond := g.total(1+r.tenant) * math.Ln2 / rateHalf * 1000
-	return min(1, g.s.Tenants[r.tenant].PerSecond/max(perSecond, 1e-9))
-}
-
 // sample books a dashboard's latency.
 func (g *Gateway) sample(e *engine, r *request, a *attempt, latency float64) {
 	e.sum, e.aims, e.count, e.answered = e.sum+latency, e.aims+r.cl.Aim, e.count+1, g.now
@@ -662,6 +654,10 @@
 			g.finish(r)
 		} else if g.stuck(r, a, age, exp) && g.mayRetry(r) {
 			g.cancel(r, i)
+		} else if r.cl.Effect == Unsafe && age > lostAfter*exp+runawayPast && len(g.keys[r.key]) > 1 {
+			// Most likely its answer is lost, and others of its key wait for nothing.
+			g.cancel(r, i)
+			g.finish(r)
 		}
 	}
 	if !r.over || r.out() > 0 {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -647,6 +647,41 @@
 	}
 }
 
+// A load whose answer is lost must not keep the others of its key until its
+// deadline; with nobody waiting it is left alone, as it may only be slow.
+func TestLostLoadFreesItsKey(t *testing.T) {
+	s := one()
+	s.Classes[2].Effect = Unsafe
+	for _, followed := range []bool{true, false} {
+		tr := newTrial(t, s, engines("a", "b", "c", "d")...)
+		tr.ask("first", 2, 500, 19000)
+		lasts := tr.g.lasts(tr.g.byReq["first"])
+		tr.run(lostAfter*lasts - 2*sweepEvery)
+		if followed {
+			tr.ask("second", 2, 500, 19000)
+		}
+		tr.run(2 * sweepEvery)
+		if len(tr.finals) != 0 {
+			t.Errorf("%v after %.0f ms", tr.finals, tr.now)
+		}
+		tr.run(runawayPast + 2*sweepEvery)
+		if !followed {
+			if len(tr.finals) != 0 {
+				t.Errorf("given up though nobody waits for it: %v", tr.finals)
+			}
+			continue
+		}
+		if len(tr.finals) != 1 || tr.finals[0].Req != "first" || tr.finals[0].Kind != Fail || count(tr.all, Cancel) != 1 {
+			t.Fatalf("final answers %v, %d cancels", tr.finals, count(tr.all, Cancel))
+		}
+		tr.end("first", Cancelled)
+		tr.run(tr.s.OrderSettle + 2*sweepEvery)
+		if second := tr.g.byReq["second"]; len(second.tries) != 1 {
+			t.Errorf("the next of its key was sent %d times", len(second.tries))
+		}
+	}
+}
+
 // Many gateways must not each put a whole piece on every engine.
 func TestManyGatewaysShareOneOvershoot(t *testing.T) {
 	s := one()
--- a/control/state.go
+++ b/control/state.go
@@ -418,6 +418,15 @@
 // tellEvery is the time between messages to peers.
 func (g *Gateway) tellEvery() float64 { return max(1000, peerEvery*float64(g.s.Gateways)) }
 
+// inShare is the part of its tenant's requests within its share. It guards the others against a flood.
+func (g *Gateway) inShare(r *request) float64 {
+	if r.tenant < 0 || r.tenant >= len(g.s.Tenants) || g.s.Tenants[r.tenant].PerSecond <= 0 {
+		return 1
+	}
+	perSecond := g.total(1+r.tenant) * math.Ln2 / rateHalf * 1000
+	return min(1, g.s.Tenants[r.tenant].PerSecond/max(perSecond, 1e-9))
+}
+
 // demand is what this gateway was asked for, as it would stand had it been up for long: sums that decay grow
 // from nothing at a start. It guards the share of a gateway that was restarted or replaced beside others that
 // were not.
