--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -8,8 +8,10 @@
 	"bytes"
 	"errors"
 	"io"
+	"net"
 	"net/textproto"
 	"sync"
+	"syscall"
 )
 
 // ErrTooLong is returned for a line, head or body over its limit.
@@ -221,3 +223,21 @@
 
 // Cap is how much memory the buffer holds.
 func (b *Buffer) Cap() int { return cap(b.b) }
+
+// Pending reports whether something has come in on a connection that nobody has
+// read yet. It guards requests that cross the close of an idle connection: where
+// the program's core is taken, they may lie there unread for long.
+func Pending(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	n := 0
+	if err == nil {
+		raw.Control(func(fd uintptr) {
+			n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		})
+	}
+	return n > 0
+}
--- a/internal/mysql/front.go
+++ b/internal/mysql/front.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"dewhill/internal/core"
+	"dewhill/internal/lines"
 	"dewhill/internal/statement"
 )
 
@@ -121,11 +122,12 @@
 	return true
 }
 
-// Leave tells clients that are idle to go, and others after their answer.
+// Leave tells clients that are idle to go, and others after their answer. One
+// whose command has come in but is not read yet is not idle.
 func (f *Front) Leave() {
 	f.leaving.Store(true)
 	for c := range f.open {
-		if !c.working {
+		if !c.working && !lines.Pending(c.w.c) {
 			c.w.c.SetReadDeadline(time.Now())
 		}
 	}
--- a/internal/mysql/packet_test.go
+++ b/internal/mysql/packet_test.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"net"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"dewhill/internal/lines"
 	"dewhill/internal/testprog"
 )
 
@@ -142,3 +144,42 @@
 		t.Errorf("%d engines known", len(p.engines))
 	}
 }
+
+// At the end of the program idle clients are closed, but a command that has come
+// in and is not read yet is heard.
+func TestLeaveHearsWhatHasCome(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	f := NewFront(&clock{}, &Config{})
+	var all []*client
+	for range 2 {
+		theirs, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer theirs.Close()
+		ours, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ours.Close()
+		if len(all) == 0 {
+			theirs.Write([]byte{1, 0, 0, 0, comPing})
+			testprog.Until(t, "the command", func() bool { return lines.Pending(ours) })
+		}
+		c := &client{f: f, w: newStream(ours)}
+		f.open[c] = true
+		all = append(all, c)
+	}
+	f.Leave()
+	if p, err := all[0].w.read(); err != nil || p[0] != comPing {
+		t.Errorf("the command that had come: %v, %v", p, err)
+	}
+	var late net.Error
+	if _, err := all[1].w.read(); !errors.As(err, &late) || !late.Timeout() {
+		t.Errorf("the idle client: %v", err)
+	}
+}
--- a/internal/rest/front.go
+++ b/internal/rest/front.go
@@ -11,7 +11,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"dewhill/internal/core"
@@ -162,13 +161,13 @@
 			f.Count.TooSlow++
 			f.reject(c, &badCall{408, "the message does not end"})
 		case c.busy.Load():
-		case f.away && now-quiet > quietFor && !pending(c.nc):
+		case f.away && now-quiet > quietFor && !lines.Pending(c.nc):
 			f.Count.SentAway++
 			f.end(c)
 		case c.calls == 0 && now-quiet > messageIn:
 			f.Count.Silent++
 			f.end(c)
-		case now-quiet > idleFor && !pending(c.nc):
+		case now-quiet > idleFor && !lines.Pending(c.nc):
 			f.Count.Idle++
 			f.end(c)
 		}
@@ -190,7 +189,7 @@
 	for c := range f.conns {
 		r, q := 2, c.quiet.Load()
 		switch {
-		case c.closed || c.busy.Load() || pending(c.nc):
+		case c.closed || c.busy.Load() || lines.Pending(c.nc):
 			continue
 		case c.ending:
 			r = 0
@@ -340,24 +339,6 @@
 	c.shut()
 }
 
-// pending reports whether something has come in that is not read yet. It guards
-// requests that cross the close of an idle connection: where the program's core
-// is taken, they may lie there unread for long.
-func pending(nc net.Conn) bool {
-	s, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	n := 0
-	if err == nil {
-		raw.Control(func(fd uintptr) {
-			n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		})
-	}
-	return n > 0
-}
-
 // end closes a connection of the front's own accord.
 func (f *Front) end(c *conn) {
 	f.gone(c)
