Want of connections or descriptors of our own is not held against an engine

Seen in the reading: pool.go Start() and settle() reported a request that found no connection in the budget, or whose connection found no descriptor (EMFILE), as a refused connection; control.go health() then shut the engine out after two, so a front end short of descriptors would shut out a fleet that is well. The MySQL pool did so with its limit per_engine ("full") and with EMFILE.

Now such an attempt counts as not sent (Moot): it never ran, may be made again within the limit of attempts, and is refused in the end. Counter NoConn has both causes.

--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -43,7 +43,8 @@
 	Dials, DialFailures, ConnsLost, Garbage int
 	Pulls, Kills, Boosts, Scrolls, Discards int
 	Words                                   map[string]int
-	LateAnswers, PagesLost, Probes, NoConn  int
+	LateAnswers, PagesLost, Probes          int
+	NoConn                                  int // connections that the budget or the system did not allow
 	SecondCopies                            int // of answers and pages
 	Quiet                                   int // connections opened as others to the engine had fallen quiet
 	Unsent                                  int // requests whose connection ended before it had taken them whole
@@ -88,6 +89,7 @@
 	nc     net.Conn
 	up     bool
 	dead   bool
+	short  bool // it could not be opened as this program is out of descriptors
 	out    chan command
 	open   map[string]*exchange
 	killed map[string]bool // ids given up here: their answers may still come
@@ -177,7 +179,7 @@
 	c := p.pick(m, s.ID)
 	if c == nil {
 		p.Count.NoConn++
-		p.end(ex, control.ConnectFailed)
+		p.end(ex, control.Moot)
 		return
 	}
 	wait := max(1, int(s.Until-p.host.Now()))
@@ -410,23 +412,30 @@
 	if len(c.open) > 0 {
 		p.Count.ConnsLost++
 	}
+	if c.short = errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE); c.short {
+		p.Count.NoConn++
+		if p.Count.NoConn < mostLogged {
+			p.host.Logf("out of descriptors for engine %s", c.m.id)
+		}
+	}
 	if !c.up {
 		p.settle(c)
 	}
 	if c.m.gone && len(c.m.conns) == 0 {
 		delete(p.engines, c.m.id)
 	}
-	if errors.Is(err, syscall.EMFILE) {
-		p.host.Logf("out of descriptors for engine %s", c.m.id)
-	}
 }
 
 // settle ends what was open on a lost connection. What was not written whole
-// never ran; of the rest it is not known.
+// never ran; of the rest it is not known. What found no descriptor here was not
+// sent: it must not count against an engine, or a front end that is short of them
+// would shut out a fleet that is well.
 func (p *Pool) settle(c *conn) {
 	for _, ex := range c.open {
 		p.Count.LostWith++
 		switch {
+		case c.short:
+			p.end(ex, control.Moot)
 		case !ex.written.Load():
 			p.Count.Unsent++
 			p.end(ex, control.ConnectFailed)
--- a/internal/engine/pool_test.go
+++ b/internal/engine/pool_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -120,6 +122,24 @@
 	}
 }
 
+// Where the front end itself is short of connections or descriptors, what was to
+// be sent was not, and nothing is held against the engine.
+func TestShortOfDescriptors(t *testing.T) {
+	h := &host{posts: make(chan func(), 16), ended: map[string]control.Result{}}
+	p := New(h, Options{Classes: []string{"load"}, Streams: 32, MostConns: 1, ConnectTimeout: time.Minute})
+	p.Place("s-1", "127.0.0.1:1", false)
+	p.Place("s-2", "127.0.0.1:1", false)
+	p.Start(core.Start{ID: "a", Engine: "s-1", Until: 1500}, 0, []byte("x"))
+	p.Start(core.Start{ID: "b", Engine: "s-2", Until: 1500}, 0, []byte("x"))
+	if h.ended["b"] != control.Moot {
+		t.Errorf("without a connection: %v", h.ended)
+	}
+	p.dialled(p.engines["s-1"].conns[0], nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)})
+	if h.ended["a"] != control.Moot || p.Count.NoConn != 2 || p.conns != 0 {
+		t.Errorf("without a descriptor: %v, %+v", h.ended, p.Count)
+	}
+}
+
 // An engine that has gone is forgotten, with its connections or without any.
 func TestGoneEnginesAreForgotten(t *testing.T) {
 	p := New(&host{}, Options{})
--- a/internal/mysql/engine.go
+++ b/internal/mysql/engine.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"dewhill/control"
@@ -197,7 +198,8 @@
 	}
 	if best == nil {
 		if len(m.sessions) >= p.limits.PerEngine {
-			p.host.Ended(core.AttemptEnded{ID: a.ID, Attempt: a.Attempt, Result: control.TurnedAway}, nil)
+			// Our own limit, and so not held against the engine.
+			p.host.Ended(core.AttemptEnded{ID: a.ID, Attempt: a.Attempt, Result: control.Moot}, nil)
 			return
 		}
 		best = &session{m: m, handles: map[string]uint32{}, tasks: make(chan *task, 1)}
@@ -328,6 +330,8 @@
 // unsent marks an error before the statement was written: it never ran.
 type unsent struct{ error }
 
+func (e unsent) Unwrap() error { return e.error }
+
 func (p *Pool) open(s *session, e Engine, db string) error {
 	s.count.Dials++
 	nc, err := net.DialTimeout("tcp", e.Address, p.connect)
@@ -376,8 +380,8 @@
 	case err == nil:
 	case errors.As(err, &never):
 		p.Count.LostUnsent++
-		if result = control.ConnectFailed; stopped {
-			result = control.Moot
+		if result = control.ConnectFailed; stopped || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			result = control.Moot // not the engine's fault where descriptors are short
 		}
 		p.host.Logf("engine %s: before the statement: %v", s.m.ID, err)
 	case stopped:
--- a/internal/mysql/packet_test.go
+++ b/internal/mysql/packet_test.go
@@ -5,11 +5,15 @@
 	"encoding/binary"
 	"errors"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"dewhill/control"
+	"dewhill/internal/core"
 	"dewhill/internal/lines"
 	"dewhill/internal/testprog"
 )
@@ -107,10 +111,13 @@
 // clock is a loop of which only the time is asked for.
 type clock struct {
 	Host
-	now float64
+	now   float64
+	ended []control.Result
 }
 
-func (c *clock) Now() float64 { return c.now }
+func (c *clock) Now() float64                      { return c.now }
+func (c *clock) Ended(ev core.AttemptEnded, _ any) { c.ended = append(c.ended, ev.Result) }
+func (c *clock) Logf(format string, args ...any)   {}
 
 // Connections that never log in hold no place that a client needs, and engines
 // that have gone are forgotten.
@@ -183,3 +190,19 @@
 		t.Errorf("the idle client: %v", err)
 	}
 }
+
+// Where this program itself has no connection or descriptor to spare, nothing was
+// sent, and nothing is held against the engine.
+func TestShortOfConnections(t *testing.T) {
+	h := &clock{}
+	p := &Pool{host: h, engines: map[string]*machine{}}
+	p.Place([]Engine{{ID: "a"}}, nil)
+	p.Start(core.Start{ID: "1", Engine: "a"}, 0, &Statement{})
+	m := p.engines["a"]
+	failed := &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}
+	p.ended(&task{s: &session{m: m, tasks: make(chan *task)}}, nil, unsent{failed}, true, PoolCounters{})
+	p.ended(&task{s: &session{m: m, tasks: make(chan *task)}}, nil, unsent{net.ErrClosed}, true, PoolCounters{})
+	if len(h.ended) != 3 || h.ended[0] != control.Moot || h.ended[1] != control.Moot || h.ended[2] != control.ConnectFailed {
+		t.Errorf("ended %v", h.ended)
+	}
+}
