Each front end of a large fleet uses a subset of engines by rendezvous hashing

At about 5 requests a second a front end spread over 30 engines sends to each once in 6 s, so its connections fall idle and close between requests, and its controller gathers few answers of any one engine. Ruled out: memory and descriptors (14 of 80 MB, 87 of 512), CPU (at most 0.07 s in a second).

internal/fleet (pure): each usable engine ranks the front ends by FNV-1a of the pair and takes ceil(fleet x 6 / usable) of them; a front end also takes its own first three, so none is left with nothing. internal/node/fleet.go shows the decisions the whole list, engines outside the subset as draining, and tells them the fleet as one engine sees it (sharers) in place of all front ends.

--- /dev/null
+++ b/internal/node/fleet_test.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"dewhill/control"
+)
+
+func listOf(n int) []control.EngineInfo {
+	list := make([]control.EngineInfo, n)
+	for i := range list {
+		list[i] = control.EngineInfo{ID: fmt.Sprintf("s-%04x", i*7919)}
+	}
+	return list
+}
+
+func subsetOf(shown []control.EngineInfo) map[string]bool {
+	in := map[string]bool{}
+	for _, e := range shown {
+		if !e.Draining && !e.Gone {
+			in[e.ID] = true
+		}
+	}
+	return in
+}
+
+// An engine of the subset that the board says is leaving is shown draining at
+// once, in the same event, and another takes its place: the decisions never
+// hear of a list with nothing usable while the board has engines.
+func TestTableDrainsWhatLeavesAndRefills(t *testing.T) {
+	tb := newTable(5, 300)
+	list := listOf(40)
+	first := subsetOf(tb.apply(true, list))
+	if len(first) == 0 || len(first) >= len(list) {
+		t.Fatalf("front end 5 of 300 uses %d of %d engines", len(first), len(list))
+	}
+	var leaving control.EngineInfo
+	for _, e := range list {
+		if first[e.ID] {
+			leaving = e
+			break
+		}
+	}
+	leaving.Draining = true
+	shown := tb.apply(false, []control.EngineInfo{leaving})
+	if len(shown) != len(list) {
+		t.Fatalf("the decisions are shown %d engines, the board has %d", len(shown), len(list))
+	}
+	now := subsetOf(shown)
+	if tb.shown[leaving.ID] {
+		t.Fatalf("engine %s is leaving and keeps its place in the subset", leaving.ID)
+	}
+	if now[leaving.ID] {
+		t.Fatalf("engine %s is leaving and still usable", leaving.ID)
+	}
+	if len(now) == 0 {
+		t.Fatal("nothing usable after one engine left")
+	}
+	// A restarted front end, from nothing but the list, shows the same.
+	again := newTable(5, 300)
+	again.apply(true, list)
+	if got := subsetOf(again.apply(false, []control.EngineInfo{leaving})); fmt.Sprint(got) != fmt.Sprint(now) {
+		t.Fatalf("after a restart %v, before %v", got, now)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,6 +55,7 @@
 	rev      int64  // of the last event that was applied
 	board    string // that is followed
 	unfollow context.CancelFunc
+	table    *table // the fleet's subset of the engines
 }
 
 // service is a front with its loop and its listener.
@@ -165,7 +166,13 @@
 	if most := cfg.Limits.Sockets / 3; s.MaxOpen == 0 || s.MaxOpen > most {
 		s.MaxOpen = most
 	}
-	n := &Node{cfg: cfg, loop: newLoop(cfg.Name, s, cfg.seed)}
+	// A front end of a large fleet uses a subset of the engines; the decisions
+	// then share each engine with the front ends of that subset alone.
+	t := newTable(s.Self, s.Gateways)
+	if sharers := t.plan.Sharers(usableIn(&cfg.Known)); sharers < s.Gateways {
+		s.Gateways, s.Self = sharers, s.Self%sharers
+	}
+	n := &Node{cfg: cfg, loop: newLoop(cfg.Name, s, cfg.seed), table: t}
 	names := make([]string, len(cfg.Settings.Categories))
 	classes := make([]rest.Limits, len(names))
 	for i, c := range cfg.Settings.Categories {
@@ -311,7 +318,7 @@
 		if e.Pool.Whole {
 			n.pool.Only(listed)
 		}
-		n.loop.apply(core.EngineList{Whole: e.Pool.Whole, Engines: list})
+		n.loop.apply(core.EngineList{Whole: true, Engines: n.table.apply(e.Pool.Whole, list)})
 	}
 	n.rev = max(n.rev, ns.Rev)
 }
