Loopback test: front ends of a fleet keep their subsets through mass death

Four of a fleet of twelve run against twelve stand-in engines with the notice board out of reach; three are killed by SIGKILL at once and started again from nothing but their list. Before and after, every front end sends only to the engines internal/fleet draws for it, and serves 40 lookups. The stand-ins' front ends now start as any number of a fleet (startAs).

--- /dev/null
+++ b/internal/node/fleet_program_test.go
@@ -0,0 +1,93 @@
+package node_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+
+	"dewhill/internal/fleet"
+	"dewhill/internal/testprog"
+)
+
+// fleetTest is a fleet of twelve front ends in front of twelve engines, of
+// which the first four run: each is to use its subset of the engines alone.
+const fleetSize, engineCount, running, perFront = 12, 12, 4, 6
+
+// subset is what front end self is to use, as internal/fleet draws it.
+func subset(self int, engines []*engine) []string {
+	list := make([]fleet.Engine, len(engines))
+	for i, e := range engines {
+		list[i] = fleet.Engine{ID: e.id, Usable: true}
+	}
+	return fleet.Plan{Self: self, Fleet: fleetSize, PerFront: perFront}.Subset(list)
+}
+
+// pulledBy returns the engines that got requests whose ids the front end used.
+func pulledBy(engines []*engine, prefix string) []string {
+	var got []string
+	for _, e := range engines {
+		e.mu.Lock()
+		if slices.ContainsFunc(e.pulls, func(p string) bool { return strings.HasPrefix(p, prefix) }) {
+			got = append(got, e.id)
+		}
+		e.mu.Unlock()
+	}
+	return got
+}
+
+// serve sends lookups with ids of a prefix and wants each served.
+func serve(t *testing.T, f *front, prefix string, n int) {
+	t.Helper()
+	c := f.dial()
+	for i := range n {
+		id := fmt.Sprintf("%s%012x", prefix, i)
+		if status, _, a := c.do(post("lookup", id, wait, "q")); status != 200 || a.Err != "" {
+			t.Fatalf("%s: status %d, %+v", id, status, a)
+		}
+	}
+}
+
+// Seven in ten front ends killed at once, and restarted with nothing but their
+// list while the notice board is out of reach: each still uses its own subset
+// of the engines, the same as before, and serves.
+func TestFleetSubsetsHoldThroughMassDeath(t *testing.T) {
+	engines := make([]*engine, engineCount)
+	for i := range engines {
+		engines[i] = newEngine(t, fmt.Sprintf("s-%02d", i), func(id, _ string) string { return ack(id, "batches=1", "a\tb\tc\n") })
+	}
+	lost := testprog.FreeAddr(t) // a notice board that nobody answers at
+	fronts := make([]*front, running)
+	for k := range fronts {
+		fronts[k] = startAs(t, k, fleetSize, lost, 1024, engines...)
+	}
+	check := func(round string) {
+		for k, f := range fronts {
+			prefix := fmt.Sprintf("%s%x00", round, k) // ids are 16 hex digits
+			serve(t, f, prefix, 40)
+			want, got := subset(k, engines), pulledBy(engines, prefix)
+			if len(want) >= engineCount {
+				t.Fatalf("front end %d of %d is to use all %d engines: the fleet is too small to test", k, fleetSize, engineCount)
+			}
+			for _, id := range got {
+				if !slices.Contains(want, id) {
+					t.Errorf("%s: front end %d sent to %s, outside its subset %v", round, k, id, want)
+				}
+			}
+			if len(got) == 0 {
+				t.Errorf("%s: front end %d sent nothing", round, k)
+			}
+		}
+	}
+	check("a")
+	for _, f := range fronts[1:] {
+		f.prog.Signal(syscall.SIGKILL)
+		f.prog.Wait()
+	}
+	for _, f := range fronts[1:] {
+		f.prog = f.run("")
+		f.healthy()
+	}
+	check("b")
+}
--- a/internal/node/standin_test.go
+++ b/internal/node/standin_test.go
@@ -191,19 +191,37 @@
 }
 
 func start(t *testing.T, board string, sockets int, engines ...*engine) *front {
+	t.Helper()
+	return startAs(t, 0, 2, board, sockets, engines...)
+}
+
+// startAs starts front end number self of a fleet of the given size.
+func startAs(t *testing.T, self, fleet int, board string, sockets int, engines ...*engine) *front {
 	t.Helper()
 	f := &front{t: t, addr: testprog.FreeAddr(t), tmp: t.TempDir()}
-	cfg := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":%d},
-		"peer_listen":%q,"peers":["127.0.0.1:1","127.0.0.1:2"],"board":%q,
+	peers := make([]string, fleet)
+	for i := range peers {
+		peers[i] = fmt.Sprintf("%q", fmt.Sprintf("127.0.0.1:%d", i+1))
+	}
+	s := strings.Replace(settings, `"replicasOfMe":2`, fmt.Sprintf(`"replicasOfMe":%d,"ordinal":%d`, fleet, self), 1)
+	cfg := fmt.Sprintf(`{"name":"n%d","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":%d},
+		"peer_listen":%q,"peers":[%s],"board":%q,
 		"known":{"rev":1,"notices":[{"rev":1,"pool":{"seq":1,"whole":true,"hosts":[%s]}}]},"settings":%s}`,
-		f.addr, sockets, testprog.FreeAddr(t), board, hosts(engines...), settings)
+		self, f.addr, sockets, testprog.FreeAddr(t), strings.Join(peers, ","), board, hosts(engines...), s)
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(cfg), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	f.path = path
 	f.prog = f.run(os.Getenv("PROXY_CONTROL"))
-	testprog.Until(t, "the front end to be healthy", func() bool {
+	f.healthy()
+	return f
+}
+
+// healthy waits until the front end answers that it is.
+func (f *front) healthy() {
+	f.t.Helper()
+	testprog.Until(f.t, "the front end to be healthy", func() bool {
 		c, err := net.Dial("tcp", f.addr)
 		if err != nil {
 			return false
@@ -213,7 +231,6 @@
 		status, _, _ := read(bufio.NewReader(c))
 		return status == 200
 	})
-	return f
 }
 
 // run starts a process of the front end, with a door at an address or none.
