Subset size from deploy/fleet.toml (per_front, 0 to 64), checked with line numbers

The subset's size was a constant in the node. It is now our own TOML setting, read at the start by BurntSushi/toml (-fleet FILE, default deploy/fleet.toml, defaults where there is none): unknown keys, values out of range and bad TOML end the program with one line naming file and line.

--- a/cmd/dewhill/main.go
+++ b/cmd/dewhill/main.go
@@ -27,6 +27,7 @@
 	}
 	flags := flag.NewFlagSet("dewhill", flag.ContinueOnError)
 	file := flags.String("mysql", "deploy/mysql.json", "the MySQL front's file; the front is off where there is none")
+	fleetFile := flags.String("fleet", "deploy/fleet.toml", "the fleet's subsets of engines; defaults where there is none")
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
@@ -39,6 +40,9 @@
 		if cfg, err = node.ReadConfig(path); err != nil {
 			return err
 		}
+		if cfg.Fleet, err = node.ReadFleet(*fleetFile); err != nil {
+			return err
+		}
 	}
 	if cfg == nil && my == nil {
 		return errors.New("nothing to serve: PROXY_CONFIG names no configuration, and the MySQL front is off")
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -4,11 +4,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io/fs"
 	"net"
 	"os"
 	"strconv"
 
 	"dewhill/internal/board"
+	"dewhill/internal/fleet"
 	"dewhill/internal/wire"
 )
 
@@ -32,6 +34,24 @@
 
 	seed uint64
 	path string
+
+	// Fleet are the operators' settings of subsets, from our own TOML file;
+	// the platform's JSON does not carry them.
+	Fleet fleet.Options `json:"-"`
+}
+
+// ReadFleet reads the fleet's options from a TOML file. Where there is no
+// such file the defaults hold; a file that can't be used is an error that
+// names it.
+func ReadFleet(path string) (fleet.Options, error) {
+	data, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return fleet.Defaults(), nil
+	}
+	if err != nil {
+		return fleet.Options{}, err
+	}
+	return fleet.ParseOptions(path, data)
 }
 
 // ReadConfig reads the file and checks it.
@@ -40,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Config{path: path}
+	c := &Config{path: path, Fleet: fleet.Defaults()}
 	if err := json.Unmarshal(data, c); err != nil {
 		return nil, fmt.Errorf("%s: %v", path, err)
 	}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -8,12 +8,6 @@
 	"dewhill/internal/fleet"
 )
 
-// perFront is how many usable engines a front end of a large fleet aims to
-// use (see internal/fleet): enough that two choices are left where one falls
-// out, few enough that its connections to each stay warm at the traffic that
-// one front end of hundreds sees.
-const perFront = 6
-
 // table is the whole list as the notice board has told it, and the part of it
 // that the decisions are shown: the subset of the fleet plan.
 type table struct {
@@ -23,7 +17,9 @@
 	shown map[string]bool // in the subset when it was last shown
 }
 
-func newTable(self, fleetSize int) *table {
+// newTable keeps the list of front end self of a fleet of fleetSize; each
+// aims to use perFront engines (see internal/fleet), 0: all.
+func newTable(self, fleetSize, perFront int) *table {
 	return &table{plan: fleet.Plan{Self: self, Fleet: fleetSize, PerFront: perFront}, at: map[string]int{}, shown: map[string]bool{}}
 }
 
--- a/internal/node/fleet_program_test.go
+++ b/internal/node/fleet_program_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"syscall"
@@ -91,3 +93,18 @@
 	}
 	check("b")
 }
+
+// A fleet file that can't be used ends the program at its start with one line
+// that names the file and the line, before anything is served.
+func TestBadFleetFile(t *testing.T) {
+	good := startAs(t, 0, 2, "", 1024, newEngine(t, "s-1", func(id, _ string) string { return ack(id, "batches=1", "a\tb\tc\n") }))
+	good.prog.Stop()
+	bad := filepath.Join(t.TempDir(), "fleet.toml")
+	if err := os.WriteFile(bad, []byte("# subsets\nper_front = = 4\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := testprog.Start(t, []string{"PROXY_CONFIG=" + good.path}, "-fleet", bad)
+	if c := p.Wait(); c != 1 || strings.Count(p.Log(), "\n") != 1 || !strings.Contains(p.Log(), "fleet.toml: line 2:") {
+		t.Errorf("exit %d, log %q", c, p.Log())
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -168,7 +168,7 @@
 	}
 	// A front end of a large fleet uses a subset of the engines; the decisions
 	// then share each engine with the front ends of that subset alone.
-	t := newTable(s.Self, s.Gateways)
+	t := newTable(s.Self, s.Gateways, cfg.Fleet.PerFront)
 	if sharers := t.plan.Sharers(usableIn(&cfg.Known)); sharers < s.Gateways {
 		s.Gateways, s.Self = sharers, s.Self%sharers
 	}
