Engines are shared in proportion to cores, subsets sized by the list

Now: pairs by rendezvous hash with bounds on both sides, an engine's sharers in proportion to its cores, a subset's size from the cores a front end has for its own; control hears the sharers of each engine with the list.

--- a/control/api.go
+++ b/control/api.go
@@ -107,6 +107,7 @@
 	Size             float64
 	UpSince          float64 // clock time of its last start; 0: long ago
 	Draining, Gone   bool
+	Sharers, Place   int // gateways that use it, and this one's place among them; no Sharers: all gateways
 }
 
 // Result is how an attempt or a probe ended.
--- a/control/control.go
+++ b/control/control.go
@@ -179,9 +179,9 @@
 			}
 			e = &engine{EngineInfo: info, cores: k.cores, weight: k.cores, speed: 1, light: &k.light,
 				toldAt: math.Inf(-1), loop: &loop{}, ranks: map[int]float64{},
-				crowded: k.cores < float64(g.s.Gateways), tag: uint32(hash(info.ID, 0))}
-			start := e.cores * g.share()
-			if e.pooled = e.crowded && g.s.MayProbe && g.s.ReportsInProbes; e.pooled {
+				tag: uint32(hash(info.ID, 0))}
+			start := e.cores * g.share(e)
+			if e.pooled = g.crowded(e) && g.s.MayProbe && g.s.ReportsInProbes; e.pooled {
 				e.loop, start = &k.loop, e.cores
 			}
 			if slices.ContainsFunc(g.classes, func(c class) bool { return c.bound() && c.open(e) }) {
@@ -333,7 +333,7 @@
 // mostDash bounds dashboards out to what is answered within a part of the aim (Little's law), our share of
 // the cores at least: past it, whatever slowed the engine, all would be late and be asked for again.
 func (g *Gateway) mostDash(r *request, e *engine) float64 {
-	most := max(e.span*g.share(), e.rate*r.cl.Aim*dashFill)
+	most := max(e.span*g.share(e), e.rate*r.cl.Aim*dashFill)
 	if e.pooled {
 		most += chance * math.Sqrt(most)
 	}
@@ -347,7 +347,7 @@
 	for _, e := range g.engines {
 		if !e.pooled && e.listed && r.cl.open(e) {
 			out += float64(e.sec)
-			sum += e.errSum*g.ki(e) + float64(r.cl.Threads-1)/float64(g.s.Gateways)
+			sum += e.errSum*g.ki(e) + float64(r.cl.Threads-1)/g.sharers(e)
 		}
 	}
 	e := g.choose(r, func(e *engine) float64 {
@@ -415,13 +415,13 @@
 	return e.cores / (max(r, 1) * n)
 }
 
-// share is this gateway's part of the work: by demand where peers tell theirs.
-func (g *Gateway) share() float64 {
-	even := 1 / float64(g.s.Gateways)
+// share is this gateway's part of the engine: by demand where peers tell theirs.
+func (g *Gateway) share(e *engine) float64 {
+	even := 1 / g.sharers(e)
 	if len(g.peers) == 0 || g.asked[0] == 0 || g.now < g.bornAt+demandFrom {
 		return even
 	}
-	return min(1, max(even/2, g.demand(0)/g.total(0)))
+	return min(1, max(even/2, even*float64(g.s.Gateways)*g.demand(0)/g.total(0)))
 }
 
 // sample books a dashboard's latency.
@@ -455,7 +455,7 @@
 			e.errSum += err
 		}
 	}
-	most := ceilPerCore * g.power(e) * min(1, g.share()*shareSlack)
+	most := ceilPerCore * g.power(e) * min(1, g.share(e)*shareSlack)
 	if e.pooled {
 		most = fullPerCore * e.cores
 	}
@@ -875,13 +875,13 @@
 			continue
 		}
 		if e.pooled {
-			cores += e.cores
+			cores += e.cores * g.share(e)
 		} else if !g.cold(e) || g.underFall(r, e) {
 			own += float64(e.c)
 		}
 	}
 	if cores > 0 {
-		own += max(r.cl.got, cores*g.share())
+		own += max(r.cl.got, cores)
 	}
 	return max(own, float64(r.cl.Threads))
 }
@@ -933,11 +933,11 @@
 	age, part := max(0, g.now-e.UpSince), g.warmth(e)
 	budget := coldSafety * g.s.FallMultiple * e.cores * part * g.s.FallWindow
 	from, total := g.now-g.s.FallWindow, g.charge(r)
-	mine := budget / float64(g.s.Gateways)
-	if e.crowded {
+	mine := budget / g.sharers(e)
+	if g.crowded(e) {
 		turn := math.Floor(age / g.s.FallWindow)
-		few := max(1, math.Floor(turnsAtOnce*part*e.cores*float64(g.s.Gateways)/max(g.listedCores, 1)))
-		if place := (hash(e.ID, turn) + uint64(g.s.Self)) % uint64(g.s.Gateways); float64(place) >= few {
+		few := max(1, math.Floor(turnsAtOnce*part*e.cores*g.sharers(e)/max(g.listedCores, 1)))
+		if place := (hash(e.ID, turn) + uint64(g.place(e))) % uint64(g.sharers(e)); float64(place) >= few {
 			return false
 		}
 		mine, from = budget/2/few, e.UpSince+turn*g.s.FallWindow
--- a/control/rules_test.go
+++ b/control/rules_test.go
@@ -143,6 +143,9 @@
 		cores := float64(f.s.Kinds[e.Kind].Cores) * 0.85
 		part := f.s.ColdShare + (1-f.s.ColdShare)*(now-e.UpSince)/f.s.WarmWithin
 		sharers := float64(f.s.Gateways)
+		if e.Sharers > 0 {
+			sharers = float64(e.Sharers)
+		}
 		if sharers > float64(f.s.Kinds[e.Kind].Cores) {
 			sharers = 2 // turns: at most half of a window's budget each; the sum over all has a test of its own
 		}
--- a/control/state.go
+++ b/control/state.go
@@ -57,7 +57,6 @@
 	dash, sec int   // threads of this gateway's attempts there
 
 	*loop
-	crowded         bool    // a gateway's share of it is under a core
 	pooled          bool    // the loop is its kind's
 	level, unseen   float64 // threads there by its last report, and sent since
 	toldAt          float64 // when that came
@@ -415,6 +414,25 @@
 	return all
 }
 
+// sharers is how many gateways use the engine.
+func (g *Gateway) sharers(e *engine) float64 {
+	if e.Sharers > 0 {
+		return float64(e.Sharers)
+	}
+	return float64(g.s.Gateways)
+}
+
+// crowded reports whether a gateway's share of the engine is under a core.
+func (g *Gateway) crowded(e *engine) bool { return e.cores < g.sharers(e) }
+
+// place is this gateway's number among those that use the engine.
+func (g *Gateway) place(e *engine) int {
+	if e.Sharers > 0 {
+		return e.Place
+	}
+	return g.s.Self
+}
+
 // tellEvery is the time between messages to peers.
 func (g *Gateway) tellEvery() float64 { return max(1000, peerEvery*float64(g.s.Gateways)) }
 
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -10,25 +10,20 @@
 // Options are the operators' settings of the fleet's subsets, from the TOML
 // file `deploy/fleet.toml`:
 //
-//	# engines a front end of a large fleet aims to use; 0 turns subsets off
+//	# engines a front end of a large fleet uses; 0 turns subsets off; without
+//	# it, as many as its part of the engines' cores (Auto)
 //	per_front = 6
 type Options struct {
 	PerFront int `toml:"per_front"`
 }
 
-// DefaultPerFront is the subset's size where no file says otherwise: enough
-// that two choices are left where one falls out, few enough that a front end's
-// connections to each engine stay warm at the traffic one of hundreds sees
-// (measured in docs/design-fleet.md).
-const DefaultPerFront = 6
-
 // MostPerFront bounds per_front: a larger subset is no subset at the fleet
 // sizes served, and guards against a typo that would spread every front end
 // over all engines again.
 const MostPerFront = 64
 
 // Defaults are the options without a file.
-func Defaults() Options { return Options{PerFront: DefaultPerFront} }
+func Defaults() Options { return Options{PerFront: Auto} }
 
 // ParseOptions reads the options from the text of a TOML file named name. A
 // key it does not know, a value out of range or text that is no TOML is an
@@ -46,7 +41,7 @@
 	if un := md.Undecoded(); len(un) > 0 {
 		return Options{}, fmt.Errorf("%s: unknown key %q", name, un[0].String())
 	}
-	if o.PerFront < 0 || o.PerFront > MostPerFront {
+	if md.IsDefined("per_front") && (o.PerFront < 0 || o.PerFront > MostPerFront) {
 		return Options{}, fmt.Errorf("%s: per_front is %d, wants 0 to %d", name, o.PerFront, MostPerFront)
 	}
 	return o, nil
--- a/internal/fleet/subset.go
+++ b/internal/fleet/subset.go
@@ -3,123 +3,132 @@
 // each front end learns enough of the engines it uses. It does no I/O and
 // keeps no clock: the same fleet and list always give the same subset.
 //
-// At hundreds of front ends each sees little traffic. Spread over every engine,
-// a front end sends to each so seldom that its connections fall idle and close
-// between two requests (a handshake nearly every request), its controller never
-// gathers enough answers of one engine to judge it, and its probes go
-// everywhere. Deterministic subsetting gives each front end a few engines
-// instead, chosen so that every engine is shared by about the same number of
-// front ends, and so that a change of the list moves as few front ends as
-// possible (rendezvous hashing). See docs/design-fleet.md.
+// At dozens or hundreds of front ends each sees little traffic. Spread over
+// every engine, a front end sends to each so seldom that its connections fall
+// idle and close between two requests (a handshake nearly every request), its
+// controller never gathers enough answers of one engine to judge it, and its
+// probes go everywhere. Deterministic subsetting gives each front end a few
+// engines instead: every front end the same number of them, every engine a
+// number of front ends in proportion to its cores, and as few moves as possible
+// where the list changes. See docs/design-fleet.md.
 package fleet
 
 import (
-	"cmp"
-	"encoding/binary"
 	"hash/fnv"
 	"math"
+	"math/bits"
 	"slices"
 )
 
 // Engine is one entry of the list as the subset sees it.
 type Engine struct {
 	ID     string
-	Usable bool // listed, neither leaving nor left: it may get new work
+	Usable bool    // listed, neither leaving nor left: it may get new work
+	Cores  float64 // what it can do, against others; below 1 counts as 1
 }
 
 // Plan says how a front end picks its engines.
 type Plan struct {
 	Self, Fleet int // this front end's number and the number of front ends, Fleet >= 1
-	// PerFront is how many usable engines a front end aims to use. Where the
-	// fleet is small enough that each front end would use all of them, or it is
-	// 0, the subset is the whole list.
+	// PerFront is how many usable engines a front end is to use; 0: all of
+	// them, Auto: as the list's cores allow.
 	PerFront int
 }
 
-// Sharers is how many front ends share each engine under the plan with the
-// given number of usable engines: the fleet's size as one engine sees it. It
-// is at least 1 and at most Fleet.
-func (p Plan) Sharers(usable int) int {
-	if !p.on(usable) {
-		return max(1, p.Fleet)
-	}
-	return max(1, min(p.Fleet, int(math.Ceil(float64(p.Fleet*p.PerFront)/float64(usable)))))
+// Auto sizes subsets by the list. Each front end allows each of its engines one
+// thread of held work at the least (the floor of its controller), so an engine
+// is shared by no more front ends than it has cores, and a front end has as
+// many engines as its even part of all cores.
+const Auto = -1
+
+// LeastPerFront is the smallest subset that Auto draws: with fewer, one engine
+// that is lost and one that is full leave a front end nothing.
+const LeastPerFront = 3
+
+// Share is a usable engine and who shares it.
+type Share struct {
+	ID      string
+	Sharers int  // front ends that have the engine in their subset
+	In      bool // this one is among them
+	Place   int  // of this one among them, from 0
 }
 
-// on reports whether the plan narrows anything: the fleet is larger than the
-// engines can each serve alone.
-func (p Plan) on(usable int) bool {
-	return p.PerFront > 0 && p.Fleet > 1 && usable > p.PerFront
+// size is how many engines a front end uses of n usable ones that have so many
+// cores together; n if the subset is the whole list.
+func (p Plan) size(n int, cores float64) int {
+	k := p.PerFront
+	if k == Auto {
+		k = max(LeastPerFront, int(cores/float64(max(1, p.Fleet))))
+	}
+	if k <= 0 || p.Fleet <= 1 {
+		return n
+	}
+	return min(k, n)
 }
 
-// Subset returns the ids of the engines that this front end uses, out of the
-// list, in the list's order. Engines that are not usable are never in it.
+// Draw returns the usable engines in the list's order, each with who shares it.
+// This front end is in at least one while there are any.
 //
-// Each usable engine ranks all front ends by a hash of the pair and takes the
-// first Sharers of them; a front end uses the engines that took it. As a draw
-// can leave a front end short, it also takes its own first PerFront/2 engines
-// by the same hash (at least one), so that none is left with nothing while
-// any engine is usable. A front end that leaves the list changes nothing for
-// the others; an engine that leaves moves only the front ends it had.
-func (p Plan) Subset(list []Engine) []string {
-	usable := 0
+// Every pair of a front end and an engine has a weight, a hash of both
+// (rendezvous hashing). Pairs are taken by falling weight while the front end
+// has room in its subset and the engine among its sharers. So no draw leaves a
+// front end short or an engine crowded; front ends and engines that come, go or
+// restart move few others; and all front ends that have the same list agree on
+// who shares an engine.
+func (p Plan) Draw(list []Engine) []Share {
+	var usable []Engine
+	cores := 0.0
 	for _, e := range list {
 		if e.Usable {
-			usable++
+			e.Cores = max(1, e.Cores)
+			usable, cores = append(usable, e), cores+e.Cores
 		}
 	}
-	if !p.on(usable) {
-		ids := make([]string, 0, usable)
-		for _, e := range list {
-			if e.Usable {
-				ids = append(ids, e.ID)
-			}
+	shares := make([]Share, 0, len(usable))
+	size := p.size(len(usable), cores)
+	if size == len(usable) {
+		for _, e := range usable {
+			shares = append(shares, Share{e.ID, max(1, p.Fleet), true, p.Self})
 		}
-		return ids
+		return shares
 	}
-	sharers := p.Sharers(usable)
-	type ranked struct {
-		i     int
-		score uint64
+	// A pair's number stands in the low bits of its weight: one sort orders all.
+	low := bits.Len(uint(len(usable) * p.Fleet))
+	pairs := make([]uint64, 0, len(usable)*p.Fleet)
+	room := make([]int, len(usable)) // of each engine
+	for i, e := range usable {
+		room[i] = min(p.Fleet, int(math.Ceil(float64(p.Fleet*size)*e.Cores/cores)))
+		h := fnv.New64a()
+		h.Write([]byte(e.ID))
+		id := h.Sum64()
+		for f := range p.Fleet {
+			pairs = append(pairs, mix(id+uint64(f)*golden)>>low<<low|uint64(i*p.Fleet+f))
+		}
 	}
-	own := make([]ranked, 0, usable)
-	in := make([]bool, len(list))
-	for i, e := range list {
-		if !e.Usable {
+	slices.Sort(pairs)
+	taken := make([]int, p.Fleet) // engines of each front end
+	sharers := make([]int, len(usable))
+	places := make([]int, len(usable))
+	for k := len(pairs) - 1; k >= 0; k-- {
+		i, f := int(pairs[k]&(1<<low-1))/p.Fleet, int(pairs[k]&(1<<low-1))%p.Fleet
+		if taken[f] == size || sharers[i] == room[i] {
 			continue
 		}
-		mine := weight(e.ID, p.Self)
-		own = append(own, ranked{i, mine})
-		// This front end is among the engine's first sharers when fewer than
-		// that many front ends rank above it.
-		above := 0
-		for f := 0; f < p.Fleet && above < sharers; f++ {
-			if f != p.Self && weight(e.ID, f) > mine {
-				above++
-			}
+		if sharers[i], taken[f] = sharers[i]+1, taken[f]+1; f == p.Self {
+			places[i] = sharers[i]
 		}
-		in[i] = above < sharers
-	}
-	slices.SortFunc(own, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
-	for _, r := range own[:max(1, p.PerFront/2)] {
-		in[r.i] = true
 	}
-	ids := make([]string, 0, p.PerFront*2)
-	for i, e := range list {
-		if in[i] {
-			ids = append(ids, e.ID)
-		}
+	for i, e := range usable {
+		shares = append(shares, Share{e.ID, sharers[i], places[i] > 0, max(0, places[i]-1)})
 	}
-	return ids
+	return shares
 }
 
-// weight is the rendezvous hash of an engine and a front end: FNV-1a of the
-// engine's id and the front end's number.
-func weight(id string, front int) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(id))
-	var b [8]byte
-	binary.LittleEndian.PutUint64(b[:], uint64(front))
-	h.Write(b[:])
-	return h.Sum64()
+const golden = 0x9e3779b97f4a7c15
+
+// mix is the finalizer of SplitMix64: every bit of x counts in every bit.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"dewhill/control"
-	"dewhill/internal/board"
 	"dewhill/internal/fleet"
 )
 
@@ -12,39 +11,21 @@
 // that the decisions are shown: the subset of the fleet plan.
 type table struct {
 	plan  fleet.Plan
+	cores []int
 	hosts []control.EngineInfo // in the order the board first told them
 	at    map[string]int
-	shown map[string]bool // in the subset when it was last shown
 }
 
-// newTable keeps the list of front end self of a fleet of fleetSize; each
-// aims to use perFront engines (see internal/fleet), 0: all.
-func newTable(self, fleetSize, perFront int) *table {
-	return &table{plan: fleet.Plan{Self: self, Fleet: fleetSize, PerFront: perFront}, at: map[string]int{}, shown: map[string]bool{}}
-}
-
-// usableIn counts the engines of a board's list that may get new work.
-func usableIn(ns *board.Notices) int {
-	n := 0
-	for _, e := range ns.Notices {
-		if e.Pool == nil {
-			continue
-		}
-		if e.Pool.Whole {
-			n = 0
-		}
-		for _, h := range e.Pool.Hosts {
-			if h.Health == "active" {
-				n++
-			}
-		}
-	}
-	return n
+// newTable keeps the list of front end self of a fleet of fleetSize; each uses
+// perFront engines (see internal/fleet). cores are those of each kind of engine.
+func newTable(self, fleetSize, perFront int, cores []int) *table {
+	return &table{plan: fleet.Plan{Self: self, Fleet: fleetSize, PerFront: perFront}, cores: cores, at: map[string]int{}}
 }
 
 // apply takes an event of the board and returns what the decisions are to
-// hear: the whole list, each engine outside the subset shown as draining, so
-// that what runs there ends and nothing new goes there.
+// hear: the whole list, with who shares each engine, and each engine outside
+// the subset shown as draining, so that what runs there ends and nothing new
+// goes there.
 func (t *table) apply(whole bool, list []control.EngineInfo) []control.EngineInfo {
 	if whole {
 		t.hosts, t.at = t.hosts[:0], map[string]int{}
@@ -60,15 +41,14 @@
 	cands := make([]fleet.Engine, len(t.hosts))
 	for i, e := range t.hosts {
 		cands[i] = fleet.Engine{ID: e.ID, Usable: !e.Draining && !e.Gone}
+		if e.Kind >= 0 && e.Kind < len(t.cores) {
+			cands[i].Cores = float64(t.cores[e.Kind])
+		}
 	}
-	in := map[string]bool{}
-	for _, id := range t.plan.Subset(cands) {
-		in[id] = true
-	}
-	t.shown = in
 	shown := slices.Clone(t.hosts)
-	for i := range shown {
-		shown[i].Draining = shown[i].Draining || !in[shown[i].ID]
+	for _, s := range t.plan.Draw(cands) {
+		e := &shown[t.at[s.ID]]
+		e.Sharers, e.Place, e.Draining = s.Sharers, s.Place, !s.In
 	}
 	return shown
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -166,12 +166,8 @@
 	if most := cfg.Limits.Sockets / 3; s.MaxOpen == 0 || s.MaxOpen > most {
 		s.MaxOpen = most
 	}
-	// A front end of a large fleet uses a subset of the engines; the decisions
-	// then share each engine with the front ends of that subset alone.
-	t := newTable(s.Self, s.Gateways, cfg.Fleet.PerFront)
-	if sharers := t.plan.Sharers(usableIn(&cfg.Known)); sharers < s.Gateways {
-		s.Gateways, s.Self = sharers, s.Self%sharers
-	}
+	// A front end of a large fleet uses a subset of the engines.
+	t := newTable(s.Self, s.Gateways, cfg.Fleet.PerFront, cfg.Settings.Domain.CoresByKind)
 	n := &Node{cfg: cfg, loop: newLoop(cfg.Name, s, cfg.seed), table: t}
 	names := make([]string, len(cfg.Settings.Categories))
 	classes := make([]rest.Limits, len(names))
