Subsets leave each front end a whole piece on each engine; turns at cold engines

Now: subset size = part of all cores / threads of the widest class, three at the least; a cold engine's sharers have even parts of a quarter for small pieces and turns at a half for large ones, where an even part holds none.

--- a/control/control.go
+++ b/control/control.go
@@ -53,7 +53,6 @@
 	runawayPast  = 100.0  // ms past either before it is said
 	notesMissed  = 2.5    // notes in a row that an attempt misses before it is given up
 	coldSafety   = 0.64   // of the fall-over budget in cores: capacity is 0.85 of them, and chance varies
-	turnsAtOnce  = 0.4    // gateways that have a turn, by the part of them that would fill the engine
 	paceFirst    = 1.5    // secondary time over work alone, until learned
 	scatterFirst = 0.4    // and its mean deviation
 	peerEvery    = 100.0  // ms between messages to peers for each peer: to all, so they cost by the square
@@ -926,28 +925,26 @@
 	return !g.cold(e) || g.underFall(r, e)
 }
 
-// underFall reports whether the request fits our part of what a cold engine may get in any window. Where
-// engines are crowded an even part holds no piece: gateways take turns, by engine and time since its
-// start. A turn lasts one window, so two may fall into one, and each has half of the budget.
+// underFall reports whether the request fits our part of what a cold engine may get in any window: an even
+// one. Where that holds no usual piece, small pieces have an even part of a quarter, and gateways take turns
+// at a half, by engine and time since its start: a turn lasts one window, so two may fall into one. As many
+// have the turn as there are usual pieces in the half.
 func (g *Gateway) underFall(r *request, e *engine) bool {
-	age, part := max(0, g.now-e.UpSince), g.warmth(e)
-	budget := coldSafety * g.s.FallMultiple * e.cores * part * g.s.FallWindow
-	from, total := g.now-g.s.FallWindow, g.charge(r)
-	mine := budget / g.sharers(e)
-	if g.crowded(e) {
-		turn := math.Floor(age / g.s.FallWindow)
-		few := max(1, math.Floor(turnsAtOnce*part*e.cores*g.sharers(e)/max(g.listedCores, 1)))
-		if place := (hash(e.ID, turn) + uint64(g.place(e))) % uint64(g.sharers(e)); float64(place) >= few {
-			return false
-		}
-		mine, from = budget/2/few, e.UpSince+turn*g.s.FallWindow
+	age, work := max(0, g.now-e.UpSince), g.charge(r)
+	budget, all := coldSafety*g.s.FallMultiple*e.cores*g.warmth(e)*g.s.FallWindow, g.sharers(e)
+	even, piece := budget/all, work
+	for i := range g.classes {
+		piece = max(piece, g.classes[i].usual.v)
 	}
-	for _, s := range e.sent {
-		if s.at >= from {
-			total += s.work
+	if even < piece {
+		turn, few := math.Floor(age/g.s.FallWindow), min(all, max(1, math.Floor(budget/2/piece)))
+		place := (hash(e.ID, turn) + uint64(g.place(e))) % uint64(all)
+		if float64(place) < few && work+e.sentSince(e.UpSince+turn*g.s.FallWindow) <= budget/2/few {
+			return true
 		}
+		even /= 4
 	}
-	return total <= mine
+	return work+e.sentSince(g.now-g.s.FallWindow) <= even
 }
 
 // charge is what a request counts for at a cold engine.
--- a/control/state.go
+++ b/control/state.go
@@ -84,6 +84,16 @@
 
 type sent struct{ at, work float64 }
 
+// sentSince is the work sent to the engine while cold, from a time on.
+func (e *engine) sentSince(from float64) (sum float64) {
+	for _, s := range e.sent {
+		if s.at >= from {
+			sum += s.work
+		}
+	}
+	return sum
+}
+
 type attempt struct {
 	e         *engine
 	at        float64
--- a/internal/fleet/subset.go
+++ b/internal/fleet/subset.go
@@ -33,12 +33,14 @@
 	// PerFront is how many usable engines a front end is to use; 0: all of
 	// them, Auto: as the list's cores allow.
 	PerFront int
+	Piece    int // threads of the widest piece of work, for Auto; below 1 counts as 1
 }
 
 // Auto sizes subsets by the list. Each front end allows each of its engines one
-// thread of held work at the least (the floor of its controller), so an engine
-// is shared by no more front ends than it has cores, and a front end has as
-// many engines as its even part of all cores.
+// thread of held work at the least (the floor of its controller), and a piece
+// that has begun to use it runs on all its threads. So where there are more
+// front ends than the mean engine has cores, each has as few engines as make
+// its part of each hold a whole piece.
 const Auto = -1
 
 // LeastPerFront is the smallest subset that Auto draws: with fewer, one engine
@@ -57,8 +59,11 @@
 // cores together; n if the subset is the whole list.
 func (p Plan) size(n int, cores float64) int {
 	k := p.PerFront
-	if k == Auto {
-		k = max(LeastPerFront, int(cores/float64(max(1, p.Fleet))))
+	part := cores / float64(max(1, p.Fleet)) // of this front end, of all cores
+	if k == Auto && part >= float64(n) {
+		return n
+	} else if k == Auto {
+		k = max(LeastPerFront, int(part/float64(max(1, p.Piece))))
 	}
 	if k <= 0 || p.Fleet <= 1 {
 		return n
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -16,10 +16,10 @@
 	at    map[string]int
 }
 
-// newTable keeps the list of front end self of a fleet of fleetSize; each uses
-// perFront engines (see internal/fleet). cores are those of each kind of engine.
-func newTable(self, fleetSize, perFront int, cores []int) *table {
-	return &table{plan: fleet.Plan{Self: self, Fleet: fleetSize, PerFront: perFront}, cores: cores, at: map[string]int{}}
+// newTable keeps the list of a front end that draws its subset by the plan.
+// cores are those of each kind of engine.
+func newTable(plan fleet.Plan, cores []int) *table {
+	return &table{plan: plan, cores: cores, at: map[string]int{}}
 }
 
 // apply takes an event of the board and returns what the decisions are to
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"dewhill/internal/board"
 	"dewhill/internal/core"
 	"dewhill/internal/engine"
+	"dewhill/internal/fleet"
 	"dewhill/internal/peer"
 	"dewhill/internal/rest"
 )
@@ -167,7 +168,8 @@
 		s.MaxOpen = most
 	}
 	// A front end of a large fleet uses a subset of the engines.
-	t := newTable(s.Self, s.Gateways, cfg.Fleet.PerFront, cfg.Settings.Domain.CoresByKind)
+	t := newTable(fleet.Plan{Self: s.Self, Fleet: s.Gateways, PerFront: cfg.Fleet.PerFront,
+		Piece: slices.Max(append(cfg.Settings.Domain.Dop, 1))}, cfg.Settings.Domain.CoresByKind)
 	n := &Node{cfg: cfg, loop: newLoop(cfg.Name, s, cfg.seed), table: t}
 	names := make([]string, len(cfg.Settings.Categories))
 	classes := make([]rest.Limits, len(names))
