Late attempts give way where others are held for want of threads

Now: a pure piece past its aim whose late worth is less than its class earns in time with the threads it goes on to hold is given up while any held request whose turn it is waits, and the client hears at once.

--- a/control/control.go
+++ b/control/control.go
@@ -647,7 +647,7 @@
 		if r.over || a.cancelled || r.streaming || !g.s.MayCancel || g.pausedAt == g.now {
 			continue
 		}
-		if r.cl.dash && g.now > g.due(r) && float64(a.e.dash) >= g.mostDash(r, a.e) {
+		if r.cl.dash && g.now > g.due(r) && float64(a.e.dash) >= g.mostDash(r, a.e) || g.spent(r, age, exp) {
 			// Late dashboards, behind a load or a lost answer, hold places that others need.
 			g.cancel(r, i)
 			g.finish(r)
@@ -692,6 +692,17 @@
 	return inTime && r.cl.Effect == Pure && total > limit*exp+runawayPast && left > exp*1.5
 }
 
+// spent reports whether a late attempt will earn less for the threads it goes on to hold than its class earns
+// in time, while others are held for want of them. It guards a full fleet against bad plans that run on.
+func (g *Gateway) spent(r *request, age, exp float64) bool {
+	inTurn := func(o *request) bool { return !o.cl.InOrder || g.turn(o.key) == o }
+	return r.cl.Effect == Pure && !r.cl.dash && g.now > g.due(r) && slices.ContainsFunc(g.queue, inTurn) &&
+		r.cl.LateWorth*r.usual() < remains(age, exp)*float64(r.cl.Threads)
+}
+
+// remains is how much longer an attempt is expected to take.
+func remains(age, exp float64) float64 { return max(exp-age, lindy*(age-exp), leftLeast*exp) }
+
 // patience is how long a dashboard may be out undoubted. It grows when all are slow, not to amplify.
 func (g *Gateway) patience(r *request) float64 {
 	return max(silentAim*r.cl.Aim+silentWork*g.workOf(r), lateTimes*g.lat.v)
@@ -841,8 +852,7 @@
 		}
 		left := exp + g.now - from
 		if k := len(r.tries) - 1; k >= 0 && r.tries[k].out {
-			age := g.now - r.tries[k].at
-			left = max(exp-age, lindy*(age-exp), leftLeast*exp)
+			left = remains(g.now-r.tries[k].at, exp)
 		}
 		if d := g.worth(r, left) / max(1, left); d < g.yield/float64(g.s.MaxOpen) {
 			list = append(list, place{r, d})
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -695,6 +695,35 @@
 	}
 }
 
+// A late piece that would earn less than it holds up gives way once others wait
+// for its threads, and its client hears at once; with nobody waiting it goes on,
+// and so does one that must not be cut short.
+func TestLatePieceGivesWay(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		effect Effect
+		others int
+		over   bool
+	}{{"nobody waits", Pure, 0, false}, {"others wait", Pure, 6, true}, {"unsafe", Unsafe, 6, false}} {
+		s := one()
+		s.Kinds[0].Cores, s.Classes[1].Effect, s.TryLimit = 4, c.effect, 1
+		tr := newTrial(t, s, engines("a")...)
+		tr.ask("late", 1, 800, 19000)
+		tr.run(s.Classes[1].Aim + s.Classes[1].AimStretch*200)
+		if tr.reqs["late"].overAt != 0 {
+			t.Fatalf("%s: given up in time", c.name)
+		}
+		tr.run(1000)
+		for i := range c.others {
+			tr.ask(fmt.Sprint(i), 1, 800, 19000)
+		}
+		tr.run(100)
+		if over := tr.reqs["late"].overAt != 0; over != c.over {
+			t.Errorf("%s: given up is %v, want %v", c.name, over, c.over)
+		}
+	}
+}
+
 func TestDashboardsFollowFromSettings(t *testing.T) {
 	g := New(Settings{Classes: []Class{
 		{Aim: 500, Threads: 1}, {Aim: 800, Threads: 1}, {Aim: 5000, Threads: 1}, {Aim: 600, Threads: 3},
