Spoilt load reports and whole lists without engines are dropped and counted

Seen: a report with a bad value was used by half, and one that names nothing known made its engine look empty (internal/engine/message.go report: levels of -1 add to 0); a whole list with no entries took every engine away (node/fleet.go apply). Now both are dropped and counted (SpoiltReports, EmptyLists); an engine leaves by its name or by a whole list that has others. Tests: TestSpoiltReports, TestTableWithstandsBadLists, and TestGarbage with an empty whole list on loopback; each fails without its guard.

--- a/internal/engine/message.go
+++ b/internal/engine/message.go
@@ -115,30 +115,31 @@
 }
 
 // report reads a load report, inflight:7;util:0.61, or nil where there is none.
-func (r *reply) report() *control.Report {
+// One that is spoilt (a value that is no number from 0 up, or nothing that is
+// known) is none: guards against an engine that would look empty by it.
+func (r *reply) report() (rep *control.Report, spoilt bool) {
 	text := r.fields["load"]
 	if text == "" {
-		return nil
+		return nil, false
 	}
-	rep := control.Report{InFlight: -1, Waiting: -1, Busy: -1, Memory: -1, Disks: -1}
+	rep = &control.Report{InFlight: -1, Waiting: -1, Busy: -1, Memory: -1, Disks: -1}
+	known := map[string]*float64{"inflight": &rep.InFlight, "rif": &rep.InFlight, "queue": &rep.Waiting, "q": &rep.Waiting,
+		"util": &rep.Busy, "busy": &rep.Busy, "x0": &rep.Memory, "x1": &rep.Disks}
+	told := 0
 	for part := range strings.SplitSeq(text, ";") {
 		name, value, _ := strings.Cut(part, ":")
-		x, err := strconv.ParseFloat(value, 64)
-		if err != nil || !(x >= 0) || math.IsInf(x, 0) {
+		at := known[name]
+		if at == nil {
 			continue
 		}
-		switch name {
-		case "inflight", "rif":
-			rep.InFlight = x
-		case "queue", "q":
-			rep.Waiting = x
-		case "util", "busy":
-			rep.Busy = x
-		case "x0":
-			rep.Memory = x
-		case "x1":
-			rep.Disks = x
+		x, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(x >= 0) || math.IsInf(x, 0) {
+			return nil, true
 		}
+		*at, told = x, told+1
+	}
+	if told == 0 {
+		return nil, true
 	}
-	return &rep
+	return rep, false
 }
--- a/internal/engine/message_test.go
+++ b/internal/engine/message_test.go
@@ -25,7 +25,7 @@
 			if err != nil || string(r.body) != b || r.id != fmt.Sprint(i) || r.number("batches") != float64(i+1) {
 				t.Fatalf("answer %d: %+v, %v", i, r, err)
 			}
-			if rep := r.report(); rep.InFlight != 7 || rep.Busy != 0.61 || rep.Disks != -1 {
+			if rep, _ := r.report(); rep.InFlight != 7 || rep.Busy != 0.61 || rep.Disks != -1 {
 				t.Fatalf("report %+v", rep)
 			}
 		}
@@ -52,9 +52,27 @@
 			if err != nil {
 				return
 			}
-			if rep := r.report(); rep != nil && rep.Busy != rep.Busy || r.number("cpu") < 0 || len(r.body) > mostPage {
+			if rep, spoilt := r.report(); rep != nil && (spoilt || rep.Busy != rep.Busy) || r.number("cpu") < 0 || len(r.body) > mostPage {
 				t.Fatalf("%+v", r)
 			}
 		}
 	})
 }
+
+// A spoilt report is dropped whole and said to be so: by half of one, or by one
+// that names nothing known, a full engine would look empty.
+func TestSpoiltReports(t *testing.T) {
+	for _, c := range []struct {
+		text        string
+		use, spoilt bool
+	}{
+		{"", false, false}, {"rif:4;busy:0.5;new:x", true, false}, {"busy:0", true, false},
+		{"rif:4;busy:", false, true}, {"rif:-1", false, true}, {"busy:NaN", false, true}, {"rif:Inf;busy:1", false, true},
+		{"new:1", false, true}, {"rif", false, true}, {";;", false, true},
+	} {
+		r := &reply{fields: map[string]string{"load": c.text}}
+		if rep, spoilt := r.report(); (rep != nil) != c.use || spoilt != c.spoilt {
+			t.Errorf("%q: %+v, spoilt %v", c.text, rep, spoilt)
+		}
+	}
+}
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -48,6 +48,7 @@
 	SecondCopies                            int // of answers and pages
 	Quiet                                   int // connections opened as others to the engine had fallen quiet
 	Unsent                                  int // requests whose connection ended before it had taken them whole
+	SpoiltReports                           int // load reports that were dropped
 	LostWith                                int // requests that ended with a connection, not by an answer of their own
 }
 
@@ -565,8 +566,10 @@
 		}
 		return
 	}
-	if rep := r.report(); rep != nil {
+	if rep, spoilt := r.report(); rep != nil {
 		ex.report = rep
+	} else if spoilt {
+		p.Count.SpoiltReports++
 	}
 	if ex.probe {
 		res := control.Served
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -22,6 +22,14 @@
 	return &table{plan: plan, cores: cores, at: map[string]int{}}
 }
 
+// empties reports whether a whole list with so many entries would leave this
+// front end no engine that its last good list has. It guards against a list
+// that was cut off or made before its maker knew anything: what an engine is
+// told to be, leaving or left, it is told by its name.
+func (t *table) empties(whole bool, entries int) bool {
+	return whole && entries == 0 && slices.ContainsFunc(t.hosts, func(e control.EngineInfo) bool { return !e.Gone })
+}
+
 // apply takes an event of the board and returns what the decisions are to
 // hear: the whole list, with who shares each engine, and each engine outside
 // the subset shown as draining, so that what runs there ends and nothing new
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -62,3 +62,30 @@
 		t.Fatalf("after a restart %v, before %v", got, now)
 	}
 }
+
+// An empty whole list takes no engine away; one that names an engine twice holds
+// what it says last, and a shorter one takes the rest away.
+func TestTableWithstandsBadLists(t *testing.T) {
+	tb := newTable(fleet.Plan{Self: 1, Fleet: 2, PerFront: fleet.Auto}, []int{8})
+	if tb.empties(true, 0) {
+		t.Error("a first list without engines is not taken")
+	}
+	list := listOf(4)
+	tb.apply(true, list)
+	if !tb.empties(true, 0) || tb.empties(false, 0) || tb.empties(true, 1) {
+		t.Error("only a whole list without engines is to be dropped")
+	}
+	twice := list[2]
+	twice.Draining = true
+	shown := tb.apply(true, []control.EngineInfo{list[1], list[2], twice})
+	if in := subsetOf(shown); len(shown) != 2 || len(in) != 1 || !in[list[1].ID] {
+		t.Errorf("shown %+v", shown)
+	}
+	twice.Gone = true
+	gone := list[1]
+	gone.Gone = true
+	tb.apply(false, []control.EngineInfo{gone, twice})
+	if tb.empties(true, 0) {
+		t.Error("a list without engines is dropped though all had left")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,7 +48,7 @@
 	pool  *engine.Pool
 	link  *peer.Link
 	count struct {
-		Notices, BoardTroubles, Told, Heard, Strange, Reloads, BadReloads int
+		Notices, BoardTroubles, Told, Heard, Strange, Reloads, BadReloads, EmptyLists int
 	}
 	desk     *desk
 	leaving  bool
@@ -300,6 +300,11 @@
 		if e.Pool == nil {
 			continue
 		}
+		if n.table.empties(e.Pool.Whole, len(e.Pool.Hosts)) {
+			n.count.EmptyLists++
+			n.loop.Logf("notice %d: a whole list without engines is dropped, the last one stands", e.Rev)
+			continue
+		}
 		listed := map[string]bool{}
 		list := make([]control.EngineInfo, 0, len(e.Pool.Hosts))
 		for _, h := range e.Pool.Hosts {
--- a/internal/node/program_test.go
+++ b/internal/node/program_test.go
@@ -292,6 +292,8 @@
 				body = "rubbish"
 			case 2:
 				body = `{"rev":9,"notices":[{"rev":2,"pool":{"hosts":[{"host":"","health":"active"}]}}]}`
+			case 4: // after the good list, one that would leave no engine
+				body = `{"rev":3,"notices":[{"rev":3,"pool":{"whole":true,"hosts":[]}}]}`
 			}
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 			c.Close()
@@ -300,6 +302,7 @@
 	f := start(t, board.Addr().String(), 1024, bad)
 	testprog.Until(t, "the third poll", func() bool { mu.Lock(); defer mu.Unlock(); return polls > 2 })
 	testprog.Until(t, "the good engine", func() bool { return strings.Contains(f.prog.Log(), "engine s-2 at") })
+	testprog.Until(t, "the empty list", func() bool { return strings.Contains(f.prog.Log(), "the last one stands") })
 	c := f.dial()
 	for k := range 4 {
 		if status, _, a := c.do(post("lookup", id(k), wait, "x")); status != 200 || len(a.Page) != 1 {
