--- a/internal/fleet/subset_test.go
+++ b/internal/fleet/subset_test.go
@@ -111,6 +111,59 @@
 	})
 }
 
+// Six in ten engines are replaced, half of them at a time, the new ones listed
+// before the old ones drain: most that have an engine which stays keep it, and new
+// pairs of front end and engine (each a handshake) are few. Drawn anew each time, one
+// in ten would be kept, and there would be three times as many new pairs.
+func TestMassReplacementMovesLittle(t *testing.T) {
+	p, list := Plan{Fleet: 80, PerFront: Auto, Piece: 3}, engines(48)
+	for i := 30; i < 48; i++ {
+		list[i].Usable = false
+	}
+	pairs := func() map[string]bool {
+		_, subsets := draws(p, list)
+		all := map[string]bool{}
+		for f, ids := range subsets {
+			for _, id := range ids {
+				all[fmt.Sprint(f, id)] = true
+			}
+		}
+		return all
+	}
+	first := pairs()
+	before, fresh := first, 0
+	for step := range 4 {
+		for i := range 9 {
+			if step%2 == 0 {
+				list[30+step/2*9+i].Usable = true
+			} else {
+				list[step/2*9+i].Usable = false
+			}
+		}
+		now := pairs()
+		for pair := range now {
+			if !before[pair] {
+				fresh++
+			}
+		}
+		before = now
+	}
+	kept, stay := 0, 0
+	for f := range p.Fleet {
+		for _, e := range list[18:30] {
+			if first[fmt.Sprint(f, e.ID)] {
+				stay++
+				if before[fmt.Sprint(f, e.ID)] {
+					kept++
+				}
+			}
+		}
+	}
+	if kept < stay/2 || fresh > len(first)*3/2 {
+		t.Errorf("%d of %d places at engines that stay are kept; %d new pairs, %d pairs in all", kept, stay, fresh, len(first))
+	}
+}
+
 // BenchmarkSubset is the cost of one list change at the sizes of the fleet days
 // and of the mass days.
 func BenchmarkSubset(b *testing.B) {
