--- a/cmd/dewhill/main.go
+++ b/cmd/dewhill/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 
+	"dewhill/internal/group"
 	"dewhill/internal/haproxy"
 	"dewhill/internal/node"
 )
@@ -28,6 +29,7 @@
 	flags := flag.NewFlagSet("dewhill", flag.ContinueOnError)
 	file := flags.String("mysql", "deploy/mysql.json", "the MySQL front's file; the front is off where there is none")
 	fleetFile := flags.String("fleet", "deploy/fleet.toml", "the fleet's subsets of engines; defaults where there is none")
+	groupFile := flags.String("group", "deploy/group.toml", "what front ends keep together; off where there is none")
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
@@ -43,6 +45,9 @@
 		if cfg.Fleet, err = node.ReadFleet(*fleetFile); err != nil {
 			return err
 		}
+		if cfg.Group, err = group.Read(*groupFile); err != nil {
+			return err
+		}
 	}
 	if cfg == nil && my == nil {
 		return errors.New("nothing to serve: PROXY_CONFIG names no configuration, and the MySQL front is off")
--- a/control/api.go
+++ b/control/api.go
@@ -145,6 +145,7 @@
 	ListFailed                  // the list could not be had
 	TakenOut                    // Engine: an operator leaves it out, whatever the list says
 	PutBack                     // Engine: and puts it back
+	Fleet                       // Level: how many gateways count for shares of work
 )
 
 // Event is something that happened.
--- a/control/control.go
+++ b/control/control.go
@@ -9,6 +9,8 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+
+	"dewhill/internal/demand"
 )
 
 const (
@@ -55,8 +57,6 @@
 	coldSafety   = 0.64   // of the fall-over budget in cores: capacity is 0.85 of them, and chance varies
 	paceFirst    = 1.5    // secondary time over work alone, until learned
 	scatterFirst = 0.4    // and its mean deviation
-	peerEvery    = 100.0  // ms between messages to peers for each peer: to all, so they cost by the square
-	peerStale    = 3.0    // messages missed after which a peer counts for nothing
 	neededLoads  = 0.2    // part of their loads that engines get which some class is bound to
 	dashPriority = 3      // of dashboards, the highest; other work keeps the engine's usual 1
 	openMost     = 0.85   // part of the places for open requests above which some are ended
@@ -68,8 +68,6 @@
 	lindy        = 0.5    // part of its delay so far that an attempt out too long is given to go on
 	leftLeast    = 0.2    // part of its expected time that an attempt has left at the least
 	advice       = 100.0  // ms that a refused client is told to stay away: sweeps find room well within it
-	rateHalf     = 5000.0 // ms over which the demand told to peers is averaged
-	demandFrom   = 1000.0 // ms after a start from which it tells anything
 )
 
 func (m *mean) add(x float64) {
@@ -79,9 +77,9 @@
 // New returns a gateway at its start.
 func New(s Settings, seed uint64) *Gateway {
 	g := &Gateway{s: s, rng: rand.New(rand.NewPCG(seed, 0x6c617069)), byID: map[string]*engine{},
-		asked: make([]float64, 1+len(s.Tenants)), told: make([]float64, 1+len(s.Tenants)),
-		byReq: map[string]*request{}, keys: map[string][]*request{}, rests: map[string]rest{},
-		handed: map[string]float64{}, homes: map[homeKey][]*engine{}, peers: map[int]peer{},
+		demand: demand.New(s.Gateways, len(s.Tenants), s.MayTell),
+		byReq:  map[string]*request{}, keys: map[string][]*request{}, rests: map[string]rest{},
+		handed: map[string]float64{}, homes: map[homeKey][]*engine{},
 		stretch: mean{paceFirst, 1}, scatter: mean{scatterFirst, 1}}
 	g.s.Gateways = max(1, s.Gateways)
 	for _, k := range append(slices.Clone(s.Kinds), Kind{}) { // the last stands for unknown ones
@@ -106,8 +104,8 @@
 func (g *Gateway) Handle(now float64, ev Event) []Action {
 	g.now, g.actions = now, nil
 	if !g.started {
-		g.started, g.bornAt = true, now
-		g.tellAt = now + g.tellEvery()*g.rng.Float64()
+		g.started = true
+		g.demand.Start(now, g.rng.Float64())
 		g.timer()
 		if g.s.AskForList {
 			g.act(Action{Kind: Watch})
@@ -134,8 +132,10 @@
 			r.over = true
 		}
 	case Heard:
-		g.hear(ev)
+		g.demand.Hear(now, ev.Peer, ev.Message)
 		return g.actions
+	case Fleet:
+		g.demand.Count(int(ev.Level))
 	case ListWhole, ListChange:
 		g.list(ev)
 	case TakenOut, PutBack:
@@ -417,10 +417,10 @@
 // share is this gateway's part of the engine: by demand where peers tell theirs.
 func (g *Gateway) share(e *engine) float64 {
 	even := 1 / g.sharers(e)
-	if len(g.peers) == 0 || g.asked[0] == 0 || g.now < g.bornAt+demandFrom {
+	if g.demand.Even(g.now) {
 		return even
 	}
-	return min(1, max(even/2, even*float64(g.s.Gateways)*g.demand(0)/g.total(0)))
+	return min(1, max(even/2, g.demand.Share(g.now, even)))
 }
 
 // sample books a dashboard's latency.
@@ -594,10 +594,8 @@
 
 // sweep looks after what no event tells of.
 func (g *Gateway) sweep() {
-	for i := range g.asked {
-		g.asked[i] *= math.Exp2(-sweepEvery / rateHalf)
-	}
-	g.tell(g.now >= g.tellAt)
+	g.demand.Decay(sweepEvery)
+	g.tell(true)
 	g.pace()
 	for i := range g.classes {
 		c := &g.classes[i]
@@ -722,7 +720,8 @@
 	g.report(e, ev.Report)
 	g.busyMs, g.threadMs = g.busyMs+ev.Elapsed, g.threadMs+ev.Elapsed*float64(r.cl.Threads)
 	if i := slices.Index(e.loads, r.dataset); r.cl.Load && i >= 0 {
-		e.loads, g.moved = slices.Delete(e.loads, i, i+1), true
+		e.loads = slices.Delete(e.loads, i, i+1)
+		g.demand.Moved()
 	}
 	if !a.neverRan && ev.Result != Served && ev.Result != Errored && r.cl.InOrder {
 		g.rests[r.key] = rest{g.now + g.s.OrderSettle, r}
@@ -980,7 +979,8 @@
 	g.book(r, e, r.cl.Threads)
 	e.unseen += float64(r.cl.Threads)
 	if r.cl.Load {
-		e.loads, g.moved = append(e.loads, r.dataset), true
+		e.loads = append(e.loads, r.dataset)
+		g.demand.Moved()
 	}
 	g.act(Action{Kind: Send, Req: r.id, Engine: e.ID, Until: r.giveUp})
 	return true
--- a/control/state.go
+++ b/control/state.go
@@ -2,12 +2,13 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"fmt"
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"slices"
+
+	"dewhill/internal/demand"
 )
 
 // class is a Class with what was learned about it.
@@ -149,12 +150,8 @@
 	scatter           mean               // and how far single ones lie off, as a part
 	aim               float64            // the shortest dashboard aim
 	seq               int
-	asked             []float64 // decaying: secondary work asked for, then requests by tenant
-	told              []float64 // the same, summed over peers
-	peers             map[int]peer
-	moved             bool    // a load went out or ended since peers were told
-	sweepAt, pausedAt float64 // when the next sweep is due; when this gateway found that it had stood still
-	tellAt, bornAt    float64
+	demand            *demand.Ledger // ours and the peers'
+	sweepAt, pausedAt float64        // when the next sweep is due; when this gateway found that it had stood still
 	started           bool
 	listedCores       float64               // of all kinds
 	balance           int                   // engines shut out less those that are not
@@ -166,16 +163,6 @@
 	earned, yield     float64   // worth served since the last sweep, and per ms, averaged
 }
 
-// peer is what a peer told last, and when.
-type peer struct {
-	asked []float64
-	loads []load
-	at    float64
-}
-
-// load names a load that is out: its engine's tag and its data set.
-type load struct{ tag, dataset uint32 }
-
 func (g *Gateway) act(a Action) { g.actions = append(g.actions, a) }
 
 func (g *Gateway) log(format string, args ...any) {
@@ -371,12 +358,10 @@
 	if r.cl.InOrder && r.key != "" {
 		g.keys[r.key] = append(g.keys[r.key], r)
 	}
-	if !r.cl.dash {
-		g.asked[0] += work
-	}
-	if r.tenant >= 0 && 1+r.tenant < len(g.asked) {
-		g.asked[1+r.tenant]++
+	if r.cl.dash {
+		work = 0
 	}
+	g.demand.Asked(work, r.tenant)
 }
 
 // book counts a request's threads in, or out again.
@@ -407,29 +392,12 @@
 	}
 }
 
-const (
-	mostMessage = 256 // bytes of the longest message to peers
-	fewGateways = 8   // gateways that tell one another of each load at once
-)
-
-// total is what all gateways were asked for: secondary work, or a tenant's requests; alike, if none tells.
-func (g *Gateway) total(i int) float64 {
-	if len(g.peers) == 0 {
-		return g.demand(i) * float64(g.s.Gateways)
-	}
-	all := g.demand(i) + g.told[i]
-	if g.now < g.bornAt+g.tellEvery() { // the others have not had their turn to tell yet
-		all *= float64(g.s.Gateways) / float64(1+len(g.peers))
-	}
-	return all
-}
-
 // sharers is how many gateways use the engine.
 func (g *Gateway) sharers(e *engine) float64 {
 	if e.Sharers > 0 {
 		return float64(e.Sharers)
 	}
-	return float64(g.s.Gateways)
+	return g.demand.Alive()
 }
 
 // crowded reports whether a gateway's share of the engine is under a core.
@@ -443,56 +411,12 @@
 	return g.s.Self
 }
 
-// tellEvery is the time between messages to peers.
-func (g *Gateway) tellEvery() float64 { return max(1000, peerEvery*float64(g.s.Gateways)) }
-
 // inShare is the part of its tenant's requests within its share. It guards the others against a flood.
 func (g *Gateway) inShare(r *request) float64 {
 	if r.tenant < 0 || r.tenant >= len(g.s.Tenants) || g.s.Tenants[r.tenant].PerSecond <= 0 {
 		return 1
 	}
-	perSecond := g.total(1+r.tenant) * math.Ln2 / rateHalf * 1000
-	return min(1, g.s.Tenants[r.tenant].PerSecond/max(perSecond, 1e-9))
-}
-
-// demand is what this gateway was asked for, as it would stand had it been up for long: sums that decay grow
-// from nothing at a start. It guards the share of a gateway that was restarted or replaced beside others that
-// were not.
-func (g *Gateway) demand(i int) float64 {
-	return g.asked[i] / (1 - math.Exp2(-max(g.now-g.bornAt, demandFrom)/rateHalf))
-}
-
-// message is what peers are told.
-func (g *Gateway) message() []byte {
-	said := make([]float64, len(g.asked))
-	for i := range said {
-		said[i] = g.demand(i)
-	}
-	msg := bytesOf(said)
-	if g.s.Gateways <= fewGateways {
-		for _, e := range g.engines {
-			for _, dataset := range e.loads {
-				if dataset >= 0 && len(msg)+8 <= mostMessage {
-					msg = binary.BigEndian.AppendUint32(msg, e.tag)
-					msg = binary.BigEndian.AppendUint32(msg, uint32(dataset))
-				}
-			}
-		}
-	}
-	return msg
-}
-
-// tell tells peers what this gateway was asked for and which loads it has out, when that is due or a load
-// has moved. It tells all of it each time, as any message may be lost.
-func (g *Gateway) tell(due bool) {
-	if !due && !(g.moved && g.s.Gateways <= fewGateways) || !g.s.MayTell || g.s.Gateways < 2 {
-		return
-	}
-	if g.moved = false; due {
-		g.tellAt = g.now + g.tellEvery()
-		g.sum(g.now - peerStale*g.tellEvery())
-	}
-	g.act(Action{Kind: Tell, Message: g.message()})
+	return min(1, g.s.Tenants[r.tenant].PerSecond/max(g.demand.PerSecond(g.now, r.tenant), 1e-9))
 }
 
 // unheard reports whether an engine has given no sign of life since an attempt went out, and this gateway
@@ -501,54 +425,24 @@
 
 // loaded reports whether a load of the data set is out at the engine, ours or a peer's.
 func (g *Gateway) loaded(e *engine, dataset int) bool {
-	return slices.Contains(e.loads, dataset) || g.theirs(e, dataset)
-}
-
-// theirs reports whether a peer has a load of the data set out at the engine, by what it told last.
-func (g *Gateway) theirs(e *engine, dataset int) bool {
-	for _, p := range g.peers {
-		if g.now < p.at+peerStale*g.tellEvery() && slices.Contains(p.loads, load{e.tag, uint32(dataset)}) {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(e.loads, dataset) || g.demand.Theirs(g.now, demand.Load{Engine: e.tag, Dataset: uint32(dataset)})
 }
 
-// hear keeps what a peer tells, and the sums over all of them.
-func (g *Gateway) hear(ev Event) {
-	at := 4 * len(g.asked)
-	if ev.Peer < 0 || ev.Peer >= g.s.Gateways || len(ev.Message) < at || (len(ev.Message)-at)%8 != 0 {
-		return // sum looks at no others
-	}
-	said, rest := floats(ev.Message[:at]), ev.Message[at:]
-	if len(said) != len(g.asked) {
-		return
-	}
-	before := g.peers[ev.Peer].asked
-	p := peer{asked: said, at: g.now}
-	for ; len(rest) > 0; rest = rest[8:] {
-		p.loads = append(p.loads, load{binary.BigEndian.Uint32(rest), binary.BigEndian.Uint32(rest[4:])})
-	}
-	g.peers[ev.Peer] = p
-	for i, x := range said {
-		if g.told[i] += x; before != nil {
-			g.told[i] -= before[i]
+// loads yields the loads that are out, for peers.
+func (g *Gateway) loads(yield func(demand.Load) bool) {
+	for _, e := range g.engines {
+		for _, dataset := range e.loads {
+			if dataset >= 0 && !yield(demand.Load{Engine: e.tag, Dataset: uint32(dataset)}) {
+				return
+			}
 		}
 	}
 }
 
-// sum forgets what peers told before a time, and adds up the rest.
-func (g *Gateway) sum(before float64) {
-	clear(g.told)
-	for k := range g.s.Gateways {
-		p, ok := g.peers[k]
-		if ok && p.at < before {
-			delete(g.peers, k)
-		} else if ok {
-			for i, x := range p.asked {
-				g.told[i] += x
-			}
-		}
+// tell tells peers of this gateway's demand and loads where that is due.
+func (g *Gateway) tell(sweep bool) {
+	if g.demand.Due(g.now, sweep) {
+		g.act(Action{Kind: Tell, Message: g.demand.Message(g.now, g.loads)})
 	}
 }
 
@@ -581,22 +475,3 @@
 	i, _ := slices.BinarySearch(times, before)
 	return slices.Delete(times, 0, i)
 }
-
-// bytesOf and floats turn numbers from 0 up into a message and back.
-func bytesOf(values []float64) (msg []byte) {
-	for _, v := range values {
-		msg = binary.BigEndian.AppendUint32(msg, math.Float32bits(float32(v)))
-	}
-	return msg
-}
-
-func floats(msg []byte) (values []float64) {
-	for ; len(msg) >= 4; msg = msg[4:] {
-		v := float64(math.Float32frombits(binary.BigEndian.Uint32(msg)))
-		if !(v >= 0 && v <= math.MaxInt32) {
-			return nil
-		}
-		values = append(values, v)
-	}
-	return values
-}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -63,6 +63,8 @@
 		Engine string
 		Out    bool
 	}
+	// Fleet tells how many front ends count for shares of work.
+	Fleet struct{ Alive int }
 	// Woke tells that the time asked for by Next has come.
 	Woke struct{}
 )
@@ -74,6 +76,7 @@
 func (Probed) event()       {}
 func (Heard) event()        {}
 func (ByHand) event()       {}
+func (Fleet) event()        {}
 func (Woke) event()         {}
 
 // Effect is something to do.
@@ -273,6 +276,8 @@
 			Report: ev.Report})
 	case Heard:
 		c.tell(control.Event{Kind: control.Heard, Peer: ev.Peer, Message: ev.Message})
+	case Fleet:
+		c.tell(control.Event{Kind: control.Fleet, Level: float64(ev.Alive)})
 	case ByHand:
 		kind := control.PutBack
 		if ev.Out {
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -23,6 +23,7 @@
 	Counters() []byte                     // the figures, as JSON
 	ByHand(engine string, out bool) error // takes an engine out or puts it back
 	InService(on bool) error              // empties the front end, or lets it work again
+	Fleet() []byte                        // the view of the fleet, as JSON; nil: none is kept
 }
 
 const (
@@ -160,7 +161,7 @@
 		do = func() error { return d.desk.ByHand(id, word == "offline") }
 	}
 	switch name {
-	case "ready", "counters":
+	case "ready", "counters", "fleet":
 		want = "GET"
 	case "out-of-service", "in-service":
 		do = func() error { return d.desk.InService(name == "in-service") }
@@ -174,6 +175,11 @@
 		return 405, nil
 	case name == "counters":
 		return 200, d.desk.Counters()
+	case name == "fleet":
+		if b := d.desk.Fleet(); b != nil {
+			return 200, b
+		}
+		return 404, nil
 	case name == "ready" && d.desk.Ready():
 		return 200, nil
 	case name == "ready":
--- /dev/null
+++ b/internal/faultrig/fleet_test.go
@@ -0,0 +1,92 @@
+package faultrig
+
+import (
+	"flag"
+	"syscall"
+	"testing"
+	"time"
+
+	"dewhill/internal/faults"
+)
+
+var (
+	seeds = flag.Int("seeds", 1, "timelines to play")
+	first = flag.Uint64("seed", 1, "seed of the first")
+	size  = flag.Int("size", 16, "front ends")
+	count = flag.Int("faults", 10, "faults of a timeline")
+	lasts = flag.Duration("lasts", 20*time.Second, "a timeline")
+	limit = flag.Duration("settle", 60*time.Second, "after the last fault within which all views are to be one")
+)
+
+// Joins, crashes, pauses, partitions and spoilt datagrams, under clients' load:
+// afterwards all views are one and true, and no client's request broke a rule.
+func TestViewsSettleAfterFaults(t *testing.T) {
+	for k := range *seeds {
+		seed := *first + uint64(k)
+		r := Start(t, Options{Seed: seed, Size: *size, Engines: 6, Group: "on = true\n"})
+		if took, ok := r.Settle(*limit); !ok {
+			t.Fatalf("seed %d: the fleet is not one after its start in %v", seed, took)
+		}
+		stop := make(chan bool)
+		wait := r.Clients(4, stop)
+		r.Play(faults.Draw(seed, *size, *count, float64(*lasts/time.Millisecond)))
+		took, ok := r.Settle(*limit)
+		close(stop)
+		wait()
+		answered, served, broken := r.CheckRules()
+		t.Logf("seed %d: one view %.1f s after the last fault; %d requests answered, %d served; %d datagrams, %d lost", seed,
+			took.Seconds(), answered, served, r.relays.Passed.Load(), r.relays.Lost.Load())
+		if !ok {
+			t.Errorf("seed %d: views are not one and true %v after the last fault", seed, took)
+		}
+		if len(broken) > 0 {
+			t.Errorf("seed %d: %d rules broken, first %s", seed, len(broken), broken[0])
+		}
+		if served < 20 {
+			t.Errorf("seed %d: only %d requests were served: the checks saw too little", seed, served)
+		}
+		for _, f := range r.Fronts {
+			r.Signal(f, syscall.SIGKILL)
+		}
+	}
+}
+
+// A front end that was paused until all called it dead is alive again to all
+// once it goes on. Without refutation it is not, and the check says so.
+func TestPausedOneComesBack(t *testing.T) {
+	for _, tags := range [][]string{nil, {"unguarded_view"}} {
+		r := Start(t, Options{Seed: 3, Size: 4, Engines: 2, Group: "on = true\nperiod_ms = 200\nretry_ms = 60\nsuspect_min_ms = 400\nsuspect_max_ms = 800\nreconnect_ms = 400\ndatagrams_per_second = 15\n", Tags: tags})
+		if _, ok := r.Settle(*limit); !ok {
+			t.Fatal("the fleet is not one after its start")
+		}
+		r.Signal(r.Fronts[2], syscall.SIGSTOP)
+		for end := time.Now().Add(*limit); ; time.Sleep(50 * time.Millisecond) {
+			if v, ok := r.Fronts[0].View(); ok && state(v, "n2") == "dead" {
+				break
+			}
+			if time.Now().After(end) {
+				t.Fatal("a paused front end is never called dead")
+			}
+		}
+		r.Signal(r.Fronts[2], syscall.SIGCONT)
+		patience := *limit
+		if tags != nil {
+			patience = 5 * time.Second // it has long enough to come back, if it could
+		}
+		if took, ok := r.Settle(patience); ok != (tags == nil) {
+			t.Errorf("tags %v: views one and true: %v, after %v", tags, ok, took)
+		}
+		for _, f := range r.Fronts {
+			r.Signal(f, syscall.SIGKILL)
+		}
+	}
+}
+
+func state(v View, name string) string {
+	for _, m := range v.Members {
+		if m.Name == name {
+			return m.State
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/faultrig/rig.go
@@ -0,0 +1,434 @@
+// Package faultrig starts a fleet of real processes of the program on loopback,
+// with stand-ins for engines and the notice board, and puts faults between and
+// under them on a timeline (internal/faults). It records what happened, and
+// prints seed, timeline and history when a test fails.
+//
+// Every front end has an address of its own out of 127.0.0.0/8, and a relay
+// stands in every directed pair of them.
+package faultrig
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"net/textproto"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"dewhill/internal/faults"
+	"dewhill/internal/testprog"
+)
+
+// Options describe a fleet.
+type Options struct {
+	Seed    uint64
+	Size    int
+	Engines int
+	Group   string   // the text of group.toml
+	Tags    []string // build tags of the program
+}
+
+// Front is a front end: its process comes and goes, its name and addresses stay.
+type Front struct {
+	Num        int
+	Name       string
+	Addr, Door string
+	path, toml string
+	tmp        string
+	mu         sync.Mutex
+	prog       *testprog.Program // nil: none
+}
+
+// Rig is a fleet at work.
+type Rig struct {
+	t       testing.TB
+	o       Options
+	Fronts  []*Front
+	Engines []*Engine
+	Board   *Board
+	relays  *relays
+	began   time.Time
+	mu      sync.Mutex
+	history []string
+	asked   map[string]*asked
+	order   []string
+}
+
+// asked is a client's request and what became of it.
+type asked struct {
+	class   string
+	front   int
+	answers int
+	status  int
+}
+
+const settings = `{"categories":[
+	{"name":"lookup","aimMs":1000,"hardLimitMs":4000,"value":1,"effect":"pure"},
+	{"name":"load","aimMs":3000,"hardLimitMs":4000,"value":6,"effect":"side_effect"}],
+	"hostTypes":["std-8"],"localities":["here"],"discovery":"push","replicasOfMe":%d,"ordinal":%d,"tickMs":5,
+	"domain":{"coresByKind":[8],"memoryByKindMb":[16384],"dop":[1,2],"classLoad":[false,true],"blockedByLoads":[true,false],
+	"takesPriority":true,"tellsCost":true},"reporting":{"via":"answers","fields":["rif","busy"]},
+	"contract":{"graceToAnswerMs":20,"stopSendingWithinMs":500},
+	"limits":{"cancel":true,"retryAfter":true,"maxRetryAfterMs":500,"tryLimit":5,"connectTimeoutMs":2000,"connIdleMs":15000,
+	"streamsPerConn":32,"mayTell":true}}`
+
+// Start starts a fleet, which ends with the test.
+func Start(t testing.TB, o Options) *Rig {
+	t.Helper()
+	r := &Rig{t: t, o: o, began: time.Now(), asked: map[string]*asked{}, Board: newBoard(t)}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("seed %d; history:\n%s", o.Seed, r.History())
+		}
+	})
+	var hosts []string
+	for i := range o.Engines {
+		e := newEngine(t, fmt.Sprintf("s-%02d", i))
+		r.Engines = append(r.Engines, e)
+		hosts = append(hosts, fmt.Sprintf(`{"host":%q,"dial":%q,"site":"here","class":"std-8","health":"active","share":1}`, e.ID, e.Addr))
+	}
+	r.Board.Tell(true, strings.Join(hosts, ","))
+	var at []netip.AddrPort
+	for i := range o.Size {
+		at = append(at, freeUDP(t, net.IPv4(127, 1, 0, byte(i+1))))
+	}
+	var err error
+	if r.relays, err = newRelays(o.Seed, at); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.relays.close)
+	toml := filepath.Join(t.TempDir(), "group.toml")
+	if err := os.WriteFile(toml, []byte(o.Group), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for i := range o.Size {
+		f := &Front{Num: i, Name: fmt.Sprintf("n%d", i), Addr: testprog.FreeAddr(t), Door: testprog.FreeAddr(t), tmp: t.TempDir(), toml: toml}
+		peers := make([]string, o.Size)
+		for j := range peers {
+			peers[j] = r.relays.addr(i, j).String()
+		}
+		known, _ := r.Board.since(0)
+		cfg, _ := json.Marshal(map[string]any{"name": f.Name, "listen": f.Addr, "seed": fmt.Sprintf("%016x", o.Seed<<8+uint64(i)),
+			"limits":      map[string]any{"cores": 1, "memory_mb": 192, "sockets": 512},
+			"peer_listen": at[i].String(), "peers": peers, "board": r.Board.Addr, "control": f.Door,
+			"known": json.RawMessage(known), "settings": json.RawMessage(fmt.Sprintf(settings, o.Size, i))})
+		f.path = filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(f.path, cfg, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		r.Fronts = append(r.Fronts, f)
+		r.Birth(f)
+	}
+	for _, f := range r.Fronts {
+		testprog.Until(t, f.Name+" to be ready", func() bool { s, _ := Call(f.Door, "GET", "ready"); return s == 200 })
+	}
+	return r
+}
+
+func freeUDP(t testing.TB, ip net.IP) netip.AddrPort {
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: ip})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	return c.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// Note adds a line to the history.
+func (r *Rig) Note(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history = append(r.history, fmt.Sprintf("%8.3f s  %s", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...)))
+}
+
+// History is what happened so far.
+func (r *Rig) History() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return strings.Join(r.history, "\n")
+}
+
+// Birth starts a front end's process.
+func (r *Rig) Birth(f *Front) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.prog != nil {
+		return
+	}
+	r.Note("%s is started", f.Name)
+	f.prog = testprog.StartTagged(r.t, r.o.Tags, []string{"PROXY_CONFIG=" + f.path, "PROXY_NAME=", "PROXY_LISTEN=", "PROXY_CONTROL=", "TMPDIR=" + f.tmp},
+		"-group", f.toml)
+}
+
+// Signal sends a front end's process a signal; SIGKILL and SIGTERM end it.
+func (r *Rig) Signal(f *Front, s syscall.Signal) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.prog == nil {
+		return
+	}
+	r.Note("%s gets %v", f.Name, s)
+	f.prog.Signal(s)
+	if s == syscall.SIGKILL || s == syscall.SIGTERM {
+		f.prog.Wait()
+		f.prog = nil
+	}
+}
+
+// Lives reports whether a front end has a process.
+func (f *Front) Lives() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.prog != nil
+}
+
+// Log is what the front end's process has logged.
+func (f *Front) Log() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.prog == nil {
+		return ""
+	}
+	return f.prog.Log()
+}
+
+// Play plays a timeline, to its end.
+func (r *Rig) Play(line faults.Timeline) {
+	r.t.Logf("%v", line)
+	p := &play{line, time.Now()}
+	r.relays.line.Store(p)
+	var ends sync.WaitGroup
+	for _, f := range line.Faults {
+		ends.Go(func() {
+			time.Sleep(time.Duration(f.At * float64(time.Millisecond)))
+			r.Note("begins: %v", f)
+			r.each(f, faults.Kill, syscall.SIGKILL)
+			r.each(f, faults.Mass, syscall.SIGKILL)
+			r.each(f, faults.Term, syscall.SIGTERM)
+			r.each(f, faults.Pause, syscall.SIGSTOP)
+			time.Sleep(time.Until(p.from.Add(time.Duration((f.At + f.For) * float64(time.Millisecond)))))
+			r.Note("ends: %v", f)
+			r.each(f, faults.Pause, syscall.SIGCONT)
+			if f.Kind.OfProcess() && f.Kind != faults.Pause {
+				for _, i := range f.Who {
+					r.Birth(r.Fronts[i])
+				}
+			}
+		})
+	}
+	ends.Wait()
+	r.relays.line.Store(nil)
+}
+
+func (r *Rig) each(f faults.Fault, kind faults.Kind, s syscall.Signal) {
+	if f.Kind != kind {
+		return
+	}
+	var all sync.WaitGroup
+	for _, i := range f.Who {
+		all.Go(func() { r.Signal(r.Fronts[i], s) })
+	}
+	all.Wait()
+}
+
+// View is what a door shows of the fleet.
+type View struct {
+	Self        string
+	Incarnation uint32
+	Settled     bool
+	Majority    bool
+	Digest      string
+	Members     []struct {
+		Name, Address, State string
+		Incarnation          uint32
+	}
+}
+
+// View asks a front end's door for its view; ok: it answered.
+func (f *Front) View() (v View, ok bool) {
+	status, body := Call(f.Door, "GET", "fleet")
+	return v, status == 200 && json.Unmarshal(body, &v) == nil
+}
+
+// Wrong tells what keeps the front ends' views from being one and true; empty if
+// nothing does.
+func (r *Rig) Wrong() string {
+	digest := ""
+	for _, f := range r.Fronts {
+		if !f.Lives() {
+			continue
+		}
+		v, ok := f.View()
+		switch {
+		case !ok:
+			return f.Name + " doesn't answer at its door"
+		case !v.Settled:
+			return f.Name + " is not settled"
+		case digest != "" && v.Digest != digest:
+			return fmt.Sprintf("%s has digest %s, others %s", f.Name, v.Digest, digest)
+		}
+		digest = v.Digest
+		held := map[string]string{}
+		for _, m := range v.Members {
+			held[m.Name] = m.State
+		}
+		for _, o := range r.Fronts {
+			if s := held[o.Name]; o.Lives() != (s == "alive" || s == "suspect") {
+				return fmt.Sprintf("%s holds %s as %q; it lives: %v", f.Name, o.Name, s, o.Lives())
+			}
+		}
+	}
+	return ""
+}
+
+// Settle waits until all views are one and true, and returns how long that took;
+// ok is false if it took longer than the patience.
+func (r *Rig) Settle(patience time.Duration) (took time.Duration, ok bool) {
+	from := time.Now()
+	wrong := ""
+	for time.Since(from) < patience {
+		was := wrong
+		if wrong = r.Wrong(); wrong == "" {
+			return time.Since(from), true
+		} else if wrong != was {
+			r.Note("not one view: %s", wrong)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return time.Since(from), false
+}
+
+// Call makes an operator's call; status 0: nobody answers.
+func Call(door, method, path string) (status int, body []byte) {
+	c, err := net.DialTimeout("tcp", door, time.Second)
+	if err != nil {
+		return 0, nil
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(3 * time.Second))
+	fmt.Fprintf(c, "%s /control/%s HTTP/1.1\r\nHost: x\r\n\r\n", method, path)
+	status, _, body = read(bufio.NewReader(c))
+	return status, body
+}
+
+func read(r *bufio.Reader) (status int, h textproto.MIMEHeader, body []byte) {
+	tp := textproto.NewReader(r)
+	line, err := tp.ReadLine()
+	if err != nil {
+		return 0, nil, nil
+	}
+	fmt.Sscanf(line, "HTTP/1.1 %d", &status)
+	if h, err = tp.ReadMIMEHeader(); err != nil {
+		return 0, nil, nil
+	}
+	n, _ := strconv.Atoi(h.Get("Content-Length"))
+	body = make([]byte, n)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return 0, nil, nil
+	}
+	return status, h, body
+}
+
+// Clients send requests until stop is closed, each to a front end drawn by the
+// seed; the function returned waits for their ends. Every third is a load, which
+// is never sent twice: whoever gets no answer leaves it.
+func (r *Rig) Clients(n int, stop <-chan bool) (wait func()) {
+	var all sync.WaitGroup
+	for k := range n {
+		all.Go(func() {
+			rng := rand.New(rand.NewPCG(r.o.Seed, uint64(k)))
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Duration(5+rng.IntN(20)) * time.Millisecond):
+				}
+				f := r.Fronts[rng.IntN(len(r.Fronts))]
+				id, class := fmt.Sprintf("%04x%012x", k, i), "lookup"
+				if i%3 == 0 {
+					class = "load"
+				}
+				r.ask(f, id, class)
+			}
+		})
+	}
+	return all.Wait
+}
+
+// ask sends one request on a connection of its own and reads until that ends.
+func (r *Rig) ask(f *Front, id, class string) {
+	a := &asked{class: class, front: f.Num}
+	r.mu.Lock()
+	r.asked[id] = a
+	r.order = append(r.order, id)
+	r.mu.Unlock()
+	c, err := net.DialTimeout("tcp", f.Addr, time.Second)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(8 * time.Second))
+	fmt.Fprintf(c, "POST /api/v2/%s HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\nReq-Wait-Ms: 3000\r\nReq-Cost: 20\r\nConnection: close\r\nContent-Length: 1\r\n\r\nq", class, id)
+	br := bufio.NewReader(c)
+	for {
+		status, _, body := read(br)
+		if status == 0 {
+			return
+		}
+		if strings.Contains(string(body), `"poll"`) && !strings.Contains(string(body), `"page"`) {
+			return // a path to call next: its answer is not waited for here
+		}
+		r.mu.Lock()
+		a.answers++
+		a.status = status
+		r.mu.Unlock()
+		c.SetDeadline(time.Now().Add(100 * time.Millisecond)) // for a second answer, which must not come
+	}
+}
+
+// CheckRules finds what the clients' and the engines' histories show of broken
+// rules: a load sent to engines twice, or a request with two answers. It returns
+// how many requests were answered and served.
+func (r *Rig) CheckRules() (answered, served int, broken []string) {
+	ran := map[string][]string{}
+	for _, e := range r.Engines {
+		for _, x := range e.Runs() {
+			ran[x.ID] = append(ran[x.ID], e.ID)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, id := range r.order {
+		a := r.asked[id]
+		if a.answers > 1 {
+			broken = append(broken, fmt.Sprintf("%s %s has %d answers", a.class, id, a.answers))
+		}
+		if a.class == "load" && len(ran[id]) > 1 {
+			broken = append(broken, fmt.Sprintf("load %s of n%d was sent to %v", id, a.front, ran[id]))
+		}
+		if a.answers > 0 {
+			answered++
+		}
+		if a.status == 200 {
+			served++
+		}
+	}
+	for id := range ran {
+		if r.asked[id] == nil {
+			broken = append(broken, "an engine got "+id+", which no client sent")
+		}
+	}
+	slices.Sort(broken)
+	return answered, served, broken
+}
--- a/internal/fleet/subset.go
+++ b/internal/fleet/subset.go
@@ -34,6 +34,24 @@
 	// them, Auto: as the list's cores allow.
 	PerFront int
 	Piece    int // threads of the widest piece of work, for Auto; below 1 counts as 1
+	// Alive says which numbers take part; nil: all. The others have no place in
+	// any subset, and those that take part move little when one comes or goes.
+	Alive []bool
+}
+
+// in reports whether a number takes part; this front end always does.
+func (p Plan) in(f int) bool { return p.Alive == nil || f == p.Self || p.Alive[f] }
+
+// part counts those that take part, and tells this one's place among them.
+func (p Plan) part() (n, place int) {
+	for f := range p.Fleet {
+		if p.in(f) {
+			if n++; f < p.Self {
+				place++
+			}
+		}
+	}
+	return n, place
 }
 
 // Auto sizes subsets by the list. Each front end allows each of its engines one
@@ -55,17 +73,17 @@
 	Place   int  // of this one among them, from 0
 }
 
-// size is how many engines a front end uses of n usable ones that have so many
-// cores together; n if the subset is the whole list.
-func (p Plan) size(n int, cores float64) int {
+// size is how many engines each of so many front ends uses of n usable ones that
+// have so many cores together; n if the subset is the whole list.
+func (p Plan) size(fleet, n int, cores float64) int {
 	k := p.PerFront
-	part := cores / float64(max(1, p.Fleet)) // of this front end, of all cores
+	part := cores / float64(max(1, fleet)) // of this front end, of all cores
 	if k == Auto && part >= float64(n) {
 		return n
 	} else if k == Auto {
 		k = max(LeastPerFront, int(part/float64(max(1, p.Piece))))
 	}
-	if k <= 0 || p.Fleet <= 1 {
+	if k <= 0 || fleet <= 1 {
 		return n
 	}
 	return min(k, n)
@@ -90,10 +108,11 @@
 		}
 	}
 	shares := make([]Share, 0, len(usable))
-	size := p.size(len(usable), cores)
+	fleet, place := p.part()
+	size := p.size(fleet, len(usable), cores)
 	if size == len(usable) {
 		for _, e := range usable {
-			shares = append(shares, Share{e.ID, max(1, p.Fleet), true, p.Self})
+			shares = append(shares, Share{e.ID, max(1, fleet), true, place})
 		}
 		return shares
 	}
@@ -102,11 +121,14 @@
 	pairs := make([]uint64, 0, len(usable)*p.Fleet)
 	room := make([]int, len(usable)) // of each engine
 	for i, e := range usable {
-		room[i] = min(p.Fleet, int(math.Ceil(float64(p.Fleet*size)*e.Cores/cores)))
+		room[i] = min(fleet, int(math.Ceil(float64(fleet*size)*e.Cores/cores)))
 		h := fnv.New64a()
 		h.Write([]byte(e.ID))
 		id := h.Sum64()
 		for f := range p.Fleet {
+			if !p.in(f) {
+				continue
+			}
 			pairs = append(pairs, mix(id+uint64(f)*golden)>>low<<low|uint64(i*p.Fleet+f))
 		}
 	}
--- /dev/null
+++ b/internal/group/group.go
@@ -0,0 +1,195 @@
+package group
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"dewhill/internal/member"
+	"dewhill/internal/peer"
+)
+
+// Host is the loop that the group lives in: all its methods are called there,
+// and only there may the group's be.
+type Host interface {
+	Now() float64
+	After(ms float64, f func())
+	Logf(format string, args ...any)
+}
+
+// Link carries datagrams to a number of the list, or to an address.
+type Link interface {
+	SendTo(num int, to netip.AddrPort, msg []byte) error
+}
+
+// Who is this front end.
+type Who struct {
+	Name  string
+	Self  int
+	Peers []netip.AddrPort
+	Addr  netip.AddrPort
+	Seed  uint64
+}
+
+const (
+	lookEvery  = 1000.0 // ms between looks at who counts
+	mostLogged = 500    // changes that are logged, so that a log kept in memory has an end
+)
+
+// Group is one front end's part in the fleet.
+type Group struct {
+	host   Host
+	link   Link
+	who    Who
+	view   *member.View
+	damp   *member.Damper
+	counts func([]bool) // hears who counts
+	armed  float64      // when the loop wakes the view; 0: not at all
+	left   bool
+	logged int
+
+	Count struct {
+		Sent, Received, Foreign, Spoilt, OtherVersion, SendErrors int
+		Bytes                                                     map[string]int // sent, by kind
+	}
+}
+
+// New starts this front end's part. counts hears which numbers of the list
+// count for shares of work, each time that changes.
+func New(o Options, who Who, host Host, link Link, counts func([]bool)) *Group {
+	mo := member.Options{Name: who.Name, Self: who.Self, Peers: who.Peers, Addr: who.Addr, Seeds: o.seeds, Size: o.Size,
+		Datagram: o.Datagram - peer.Overhead, Times: o.Times(), NoRefuting: unguarded}
+	if len(who.Peers) == 0 {
+		mo.Self = -1
+	}
+	g := &Group{host: host, link: link, who: who, view: member.New(mo, who.Seed), counts: counts}
+	g.Count.Bytes = map[string]int{}
+	if n := len(who.Peers); n > 0 && counts != nil {
+		g.damp = member.NewDamper(n)
+		host.After(lookEvery, g.look)
+	}
+	g.apply(member.Start{})
+	return g
+}
+
+// look passes on who counts.
+func (g *Group) look() {
+	if g.left {
+		return
+	}
+	if g.damp.Look(g.host.Now(), g.view) {
+		g.counts(g.damp.Counts())
+	}
+	g.host.After(lookEvery, g.look)
+}
+
+// apply gives the view an event and carries out its effects.
+func (g *Group) apply(ev member.Event) {
+	out := g.view.Apply(g.host.Now(), ev)
+	for _, c := range out.Changes {
+		if g.logged++; g.logged <= mostLogged {
+			g.host.Logf("fleet: %s %s is %v at incarnation %d (was %v)", c.Name, c.Addr, c.State, c.Incarnation, c.Was)
+		}
+	}
+	for _, s := range out.Sends {
+		g.Send(peer.Fleet, s.Num, s.To, s.Msg)
+	}
+	if next := g.view.Next(); !g.left && !math.IsInf(next, 1) && (g.armed == 0 || next < g.armed) {
+		g.armed = next
+		g.host.After(next-g.host.Now(), g.wake)
+	}
+}
+
+// wake wakes the view when it asked to be. The loop can't take a timer back, so
+// one set for an earlier time may still come.
+func (g *Group) wake() {
+	now := g.host.Now()
+	if g.left || now < g.armed {
+		return
+	}
+	g.armed = 0
+	g.apply(member.Woke{})
+}
+
+// Send sends a body of a kind.
+func (g *Group) Send(k peer.Kind, num int, to netip.AddrPort, body []byte) {
+	msg := peer.Wrap(k, body)
+	g.Count.Sent++
+	g.Count.Bytes[k.String()] += len(msg)
+	if err := g.link.SendTo(num, to, msg); err != nil {
+		if g.Count.SendErrors++; g.Count.SendErrors == 1 {
+			g.host.Logf("fleet: a datagram can't be sent: %v", err)
+		}
+	}
+}
+
+// Heard takes a datagram that is not of the decisions, from a number of the list
+// or, below 0, from an address.
+func (g *Group) Heard(num int, from netip.AddrPort, msg []byte) {
+	g.Count.Received++
+	kind, body, err := peer.Unwrap(msg)
+	switch {
+	case err == peer.ErrVersion:
+		g.Count.OtherVersion++
+	case err != nil:
+		g.Count.Spoilt++
+	case kind == peer.Fleet:
+		if !g.left {
+			g.apply(member.Heard{Num: num, From: from, Msg: body})
+		}
+	default:
+		g.Count.Foreign++
+	}
+}
+
+// Leave tells the others that this front end ends. It goes on answering until
+// Close.
+func (g *Group) Leave() { g.apply(member.Leave{}) }
+
+// Close ends this front end's part without a word: another process has taken
+// its place.
+func (g *Group) Close() { g.left = true }
+
+// member as the door shows it.
+type shown struct {
+	Name        string `json:"name"`
+	Address     string `json:"address"`
+	Incarnation uint32 `json:"incarnation"`
+	State       string `json:"state"`
+	SinceMs     int64  `json:"since_ms"`
+}
+
+// Fleet is what the door shows of the view, as JSON.
+func (g *Group) Fleet() []byte {
+	now := g.host.Now()
+	list := []shown{}
+	for _, m := range g.view.Members() {
+		name := m.Name
+		if name == "" { // nobody has told it yet
+			name = m.Addr.String()
+		}
+		since := int64(0) // of one never heard of: nothing is known
+		if m.State != member.Unknown {
+			since = int64(now - m.Since)
+		}
+		list = append(list, shown{name, m.Addr.String(), m.Incarnation, m.State.String(), since})
+	}
+	slices.SortFunc(list, func(a, b shown) int { return strings.Compare(a.Name, b.Name) })
+	b, _ := json.Marshal(struct {
+		Self        string  `json:"self"`
+		Incarnation uint32  `json:"incarnation"`
+		Settled     bool    `json:"settled"`
+		Majority    bool    `json:"majority"`
+		Digest      string  `json:"digest"`
+		Members     []shown `json:"members"`
+	}{g.who.Name, g.view.Incarnation(), g.view.Settled(), g.view.Majority(), fmt.Sprintf("%016x", g.view.Digest()), list})
+	return b
+}
+
+// Report are the counters.
+func (g *Group) Report() any {
+	return map[string]any{"link": g.Count, "view": g.view.Counter, "health": g.view.Health(), "settled": g.view.Settled()}
+}
--- /dev/null
+++ b/internal/group/guard_off.go
@@ -0,0 +1,5 @@
+//go:build unguarded_view
+
+package group
+
+const unguarded = true
--- /dev/null
+++ b/internal/member/probe.go
@@ -0,0 +1,615 @@
+package member
+
+import (
+	"math"
+	"net/netip"
+	"slices"
+)
+
+// probe is a probe under way: two pings, then pings through others.
+type probe struct {
+	of    *entry
+	seq   uint32
+	begun float64
+	at    float64 // of the next step
+	stage int
+	full  bool // others are asked too
+	ring  bool // of a member that this one watches
+}
+
+// help is a ping sent for another.
+type help struct {
+	asker        *entry
+	theirs, mine uint32
+	of           *entry
+	at           float64 // when it is answered by nack
+}
+
+// tick is one period.
+func (v *View) tick() {
+	t := &v.o.Times
+	v.ticks++
+	v.tickAt = v.now + t.Period*(0.95+0.1*v.rng.Float64())
+	if v.ticks%forgetEvery == 0 {
+		v.forget()
+	}
+	// A member is probed by the one before it on the ring every other period,
+	// so that none waits long for its turn, and else by whoever draws it.
+	if v.failing() {
+		// Where many are gone at once there is no budget for draws, most of which
+		// would be wasted: watchers find who is gone, and what has to be spread
+		// goes to those that are there.
+		for _, e := range v.after(2) {
+			v.probe(e, false, true)
+		}
+		if v.ticks%2 == 0 {
+			v.send(v.anyone(), &message{word: ping}, true)
+		}
+	} else if ring := v.after(1); v.ticks%2 == 0 && len(ring) > 0 {
+		v.probe(ring[0], true, true)
+	} else if e := v.draw(); e != nil {
+		v.probe(e, true, false)
+	}
+	if v.now >= v.tryAt || len(v.live) == 0 {
+		v.tryAt = v.now + t.Reconnect
+		v.reconnect()
+	}
+	for range 2 { // a fleet that starts together finds itself sooner
+		if v.count[Unknown] > 0 && v.tokens >= reserve {
+			v.reconnect()
+		}
+	}
+	if (len(v.news) > 0 || !v.Settled()) && v.tokens >= reserve && len(v.live) > 0 {
+		v.send(v.anyone(), &message{word: ping}, !v.Settled())
+	}
+}
+
+// after returns the next members on the ring that live and are not being
+// probed.
+func (v *View) after(most int) (list []*entry) {
+	for k := 1; k < len(v.all) && len(list) < most; k++ {
+		e := v.all[(v.self.at+k)%len(v.all)]
+		if e.State == Alive && !e.probing || e.State == Suspect && !e.probing && !slices.Contains(e.accusers[:e.accused], v.id(v.self)) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// draw returns the next live member of a round in random order; one whose name
+// is not known yet comes first.
+func (v *View) draw() *entry {
+	for _, e := range v.live {
+		if e.Num >= 0 && e.Name == "" && e.State == Alive && !e.probing && v.ticks%4 == 1 {
+			return e
+		}
+	}
+	for range 2 {
+		for len(v.turn) > 0 {
+			e := v.turn[len(v.turn)-1]
+			v.turn = v.turn[:len(v.turn)-1]
+			// A suspect that enough accuse is no use to probe again.
+			if e.live >= 0 && !e.probing && (e.State == Alive || e.accused < suspectBy) {
+				return e
+			}
+		}
+		v.turn = append(v.turn, v.live...)
+		v.rng.Shuffle(len(v.turn), func(i, j int) { v.turn[i], v.turn[j] = v.turn[j], v.turn[i] })
+	}
+	return nil
+}
+
+// reconnect pings an address where nobody is known to live: of a member that is
+// unknown, dead or left, of one that was forgotten, or a seed. It is what joins
+// a fleet, and what joins two sides again of which each had forgotten the other.
+func (v *View) reconnect() {
+	gone := len(v.all) - len(v.live) - 1
+	k := v.rng.IntN(max(1, gone+len(v.forgot)+len(v.o.Seeds)))
+	switch {
+	case k < gone:
+		for try := range 64 {
+			e := v.all[v.rng.IntN(len(v.all))]
+			// One that is known from the list only comes before the dead.
+			if e != v.self && e.live < 0 && (e.State == Unknown || v.count[Unknown] == 0 || try >= 16) {
+				v.send(e, &message{word: ping}, false)
+				return
+			}
+		}
+	case k < gone+len(v.forgot):
+		v.sendTo(-1, v.forgot[k-gone], nil, &message{word: ping}, false)
+	case k < gone+len(v.forgot)+len(v.o.Seeds):
+		if a := v.o.Seeds[k-gone-len(v.forgot)]; a != v.self.Addr {
+			v.sendTo(-1, a, nil, &message{word: ping}, false)
+		}
+	}
+}
+
+// probe begins a probe.
+func (v *View) probe(e *entry, full, ring bool) {
+	v.Counter.Probes++
+	v.seq++
+	e.probing = true
+	v.probes = append(v.probes, &probe{of: e, seq: v.seq, begun: v.now, at: v.now + v.wide(v.o.Times.Retry), full: full, ring: ring})
+	v.send(e, &message{word: ping, seq: v.seq}, false)
+}
+
+// step takes a probe on that has had no answer, and reports whether it is over.
+func (v *View) step(p *probe) bool {
+	e := p.of
+	if e.heard > p.begun || e.live < 0 {
+		return true
+	}
+	p.at = v.now + v.wide(v.o.Times.Retry)
+	switch p.stage++; {
+	case p.stage == 1:
+		if !v.failing() { // else one ping has to do
+			v.send(e, &message{word: ping, seq: p.seq}, false)
+		}
+		return false
+	case p.stage == 2 && p.full && !v.failing(): // else most who could be asked may be gone
+		p.at = v.now + v.wide(1.6*v.o.Times.Retry) // there and back twice
+		asked := 0
+		for range 4 * helpers {
+			o := v.live[v.rng.IntN(len(v.live))]
+			if o == e || o.State != Alive || o.probing {
+				continue
+			}
+			m := &message{word: ask, seq: p.seq}
+			if e.Num >= 0 {
+				m.target = uint32(e.Num) + 1
+			} else {
+				m.targetName = e.Name
+			}
+			v.send(o, m, false)
+			if asked++; asked == helpers {
+				break
+			}
+		}
+		v.send(e, &message{word: ping, seq: p.seq}, false)
+		return false
+	}
+	v.fail(p)
+	return true
+}
+
+// fail ends a probe without an answer: its member is a suspect. Where it was
+// the next one on the ring, those behind it may be gone too, and twice as many
+// are probed each time, so that a gap of any width is found in a few steps.
+func (v *View) fail(p *probe) {
+	e := p.of
+	v.Counter.Failed++
+	v.failed[int(p.seq)%len(v.failed)] = p.seq
+	if e.State == Alive {
+		v.set(e, e.Incarnation, Suspect, v.id(v.self))
+	} else if e.State == Suspect {
+		v.accuse(e, v.id(v.self))
+	}
+	if !p.ring {
+		return
+	}
+	v.span = min(mostSpan, 2*v.span)
+	for _, e := range v.after(v.span) {
+		if v.tokens < 1 || v.tokens < reserve && !v.failing() {
+			return
+		}
+		if e.heard < v.now-3*v.o.Times.Period {
+			v.probe(e, false, true)
+		}
+	}
+}
+
+// answered ends the probe of a number.
+func (v *View) answered(seq uint32, by *entry) {
+	for i, p := range v.probes {
+		if p.seq == seq && (by == nil || p.of == by) {
+			if p.of.probing = false; p.ring {
+				v.span = 1
+			}
+			v.better()
+			p.of.heard = max(p.of.heard, v.now)
+			v.probes = slices.Delete(v.probes, i, i+1)
+			return
+		}
+	}
+	if seq != 0 && v.failed[int(seq)%len(v.failed)] == seq {
+		v.failed[int(seq)%len(v.failed)] = 0
+		v.worse() // it came, after its time
+	}
+}
+
+// take takes in a datagram.
+func (v *View) take(ev Heard) {
+	v.Counter.Received++
+	v.Counter.BytesReceived += len(ev.Msg)
+	m, err := decode(ev.Msg)
+	if err != nil {
+		v.Counter.Spoilt++
+		return
+	}
+	if !v.started {
+		return
+	}
+	e := v.sender(ev, &m)
+	if e == nil || e == v.self {
+		return
+	}
+	v.direct(e, &m)
+	mine := m.list == uint32(len(v.o.Peers))
+	if mine {
+		for _, k := range m.whole {
+			v.read(k)
+		}
+		for _, r := range m.entries {
+			v.rumour(r)
+		}
+		for _, n := range m.names {
+			if n.num < len(v.o.Peers) && v.all[n.num] != v.self && v.all[n.num].Name == "" {
+				v.learnName(v.all[n.num], n.name, 2)
+			}
+		}
+	} else {
+		v.Counter.OtherList++
+	}
+	for _, r := range m.named {
+		v.rumour(r)
+	}
+	v.compare(e, &m)
+	switch m.word {
+	case ping:
+		v.reply(e, ack, &m)
+		return
+	case ack:
+		v.answered(m.seq, e)
+	case relay:
+		v.answered(m.seq, nil)
+	case ask:
+		v.help(e, &m)
+	}
+	for i, h := range v.helping {
+		if m.word == ack && h.of == e && h.mine == m.seq {
+			v.helping = slices.Delete(v.helping, i, i+1)
+			v.send(h.asker, &message{word: relay, seq: h.theirs}, false)
+			break
+		}
+	}
+	// What is no ping has no answer of its own: where the sender has to hear
+	// something, it is told unless that was done just now.
+	if (v.owes(e, m.inc) || m.sums != nil && mine && m.digest != v.Digest()) && v.now > e.told+answerGap && v.tokens >= reserve {
+		v.reply(e, gossip, &m)
+	}
+}
+
+// sender finds who sent a datagram; nil: nobody that may.
+func (v *View) sender(ev Heard, m *message) *entry {
+	if ev.Num >= 0 && ev.Num < len(v.o.Peers) {
+		return v.all[ev.Num]
+	}
+	if m.name == "" {
+		for _, e := range v.all[len(v.o.Peers):] {
+			if e.Addr == ev.From {
+				return e
+			}
+		}
+		return nil
+	}
+	e := v.byName[m.name]
+	if e == nil {
+		if tomb := v.tombs[m.name]; m.inc <= tomb {
+			// It has come back under the incarnation it was forgotten with, or an
+			// older one: it is dead until it has heard so.
+			if e = v.join(m.name, ev.From, tomb+1); e != nil {
+				v.set(e, tomb, Dead, 0)
+			}
+			return e
+		}
+		return v.join(m.name, ev.From, m.inc)
+	}
+	if e != v.self && m.inc >= e.Incarnation {
+		e.Addr = ev.From
+	}
+	return e
+}
+
+// direct takes in what a datagram tells of its sender by coming.
+func (v *View) direct(e *entry, m *message) {
+	e.heard = v.now
+	if !slices.Contains(v.recent[:], e) {
+		v.recent[v.heardFrom%len(v.recent)] = e
+		v.heardFrom++
+	}
+	v.learnName(e, m.name, 4)
+	switch {
+	case m.inc > e.Incarnation:
+		v.set(e, m.inc, Alive, 0)
+		e.boot = m.boot
+	case m.inc == e.Incarnation && e.boot == 0:
+		e.boot = m.boot
+	case m.inc == e.Incarnation && e.boot != m.boot:
+		// Another process under the same incarnation: the one before is dead.
+		if e.boot = m.boot; e.State < Dead {
+			v.set(e, e.Incarnation, Dead, 0)
+		}
+	}
+}
+
+// owes reports whether a member that calls itself alive under an incarnation
+// has to hear that more is said of it.
+func (v *View) owes(e *entry, inc uint32) bool {
+	return e.Incarnation > inc || e.Incarnation == inc && e.State > Alive
+}
+
+// compare notes whether a member's view is this one's.
+func (v *View) compare(e *entry, m *message) {
+	if m.list != uint32(len(v.o.Peers)) {
+		return
+	}
+	if m.digest != v.Digest() {
+		v.agree = v.agree[:0]
+		return
+	}
+	oldest := 0
+	for i, a := range v.agree {
+		if a.key == e.key {
+			v.agree[i].at = v.now
+			return
+		}
+		if a.at < v.agree[oldest].at {
+			oldest = i
+		}
+	}
+	if len(v.agree) < 4*settledBy {
+		v.agree = append(v.agree, agreement{e.key, v.now})
+	} else {
+		v.agree[oldest] = agreement{e.key, v.now}
+	}
+}
+
+// help probes a member for another.
+func (v *View) help(asker *entry, m *message) {
+	var e *entry
+	if m.target > 0 && m.list == uint32(len(v.o.Peers)) && int(m.target) <= len(v.o.Peers) {
+		e = v.all[m.target-1]
+	} else if m.targetName != "" {
+		e = v.byName[m.targetName]
+	}
+	if e == nil || e == v.self || len(v.helping) >= 64 {
+		return
+	}
+	v.seq++
+	v.helping = append(v.helping, help{asker: asker, theirs: m.seq, mine: v.seq, of: e, at: v.now + v.o.Times.Retry})
+	v.send(e, &message{word: ping, seq: v.seq}, false)
+}
+
+// reply answers a datagram, with what its sender lacks.
+func (v *View) reply(e *entry, w word, to *message) {
+	m := &message{word: w}
+	if w == ack {
+		m.seq = to.seq
+	}
+	e.told = v.now
+	differ := to.list == uint32(len(v.o.Peers)) && to.digest != v.Digest()
+	var must []*entry
+	if v.owes(e, to.inc) {
+		must = append(must, e)
+	}
+	if differ && to.sums != nil {
+		from := v.rng.IntN(ranges)
+		for k := range ranges {
+			r := (from + k) % ranges
+			if short(v.sums[r]) != to.sums[r] {
+				must = v.inRange(must, r)
+				m.blocks |= 1 << r
+			}
+		}
+	}
+	v.sendTo(e.Num, e.Addr, must, m, differ)
+}
+
+// bounds are the numbers of a range: from the first up to the second.
+func (v *View) bounds(r int) (lo, hi int) {
+	n := len(v.o.Peers)
+	return (r*n + ranges - 1) / ranges, ((r+1)*n + ranges - 1) / ranges
+}
+
+// block tells of a range in as few bytes as can be: most of its members have
+// one incarnation, as long as few have been restarted.
+func (v *View) block(r int) (k block) {
+	lo, hi := v.bounds(r)
+	k.r = r
+	best := 0
+	for i := lo; i < hi; i++ { // the incarnation that most have; ranges are short
+		n := 0
+		for _, e := range v.all[lo:hi] {
+			if e.Incarnation == v.all[i].Incarnation && e.State != Unknown {
+				n++
+			}
+		}
+		if n > best {
+			best, k.inc = n, v.all[i].Incarnation
+		}
+		if 2*n > hi-lo {
+			break
+		}
+	}
+	k.bits = make([]byte, (hi-lo+3)/4)
+	for i, e := range v.all[lo:hi] {
+		if e.Incarnation == k.inc {
+			k.bits[i/4] |= codes[e.State] << (i % 4 * 2)
+		}
+	}
+	return k
+}
+
+// codes are the states' two bits in a block.
+var codes = [...]byte{Unknown: 0, Alive: 1, Suspect: 1, Dead: 2, Left: 3}
+
+// read merges a block.
+func (v *View) read(k block) {
+	lo, hi := v.bounds(k.r)
+	for i := range min(hi-lo, 4*len(k.bits)) {
+		switch k.bits[i/4] >> (i % 4 * 2) & 3 {
+		case 1:
+			v.rumour(rumour{num: lo + i, inc: k.inc, state: Alive})
+		case 2:
+			v.rumour(rumour{num: lo + i, inc: k.inc, state: Dead})
+		case 3:
+			v.rumour(rumour{num: lo + i, inc: k.inc, state: Left})
+		}
+	}
+}
+
+// inRange adds the members of a range that its block doesn't tell of.
+func (v *View) inRange(list []*entry, r int) []*entry {
+	n := len(v.o.Peers)
+	lo, hi := v.bounds(r)
+	inc := v.block(r).inc
+	for _, e := range v.all[lo:hi] {
+		if e.State != Unknown && e.Incarnation != inc {
+			list = append(list, e)
+		}
+	}
+	from := 0
+	if k := len(v.all) - n; k > 0 {
+		from = v.rng.IntN(k)
+	}
+	for i := range v.all[n:] {
+		if e := v.all[n+(from+i)%(len(v.all)-n)]; v.rangeOf(e) == r && e.State != Unknown {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// short is a range's digest as it is sent.
+func short(sum uint64) uint16 { return uint16(mix(sum)) }
+
+func (v *View) send(e *entry, m *message, sums bool) { v.sendTo(e.Num, e.Addr, nil, m, sums) }
+
+// sendTo sends a message, filled up with what must be said first and with news.
+func (v *View) sendTo(num int, to netip.AddrPort, must []*entry, m *message, sums bool) {
+	m.inc, m.boot, m.list, m.digest = v.self.Incarnation, v.boot, uint32(len(v.o.Peers)), v.Digest()
+	if m.word <= ack || num < 0 {
+		m.name = v.o.Name
+	}
+	if sums || m.word == ping && !v.Settled() {
+		m.sums = make([]uint16, ranges)
+		for i, s := range v.sums {
+			m.sums[i] = short(s)
+		}
+	}
+	most := v.o.Datagram
+	b := m.append(make([]byte, 0, most))
+	var list []rumour
+	var who []*entry
+	add := func(e *entry) {
+		r := rumour{num: e.Num, name: e.Name, addr: e.Addr, inc: e.Incarnation, state: e.State}
+		if e.State == Suspect {
+			r.accuser = e.accusers[max(0, e.accused-1)]
+		}
+		if e.Num < 0 {
+			var ok bool
+			if b, ok = appendNamed(b, r, most); ok {
+				e.tell = max(0, e.tell-1)
+			}
+			return
+		}
+		list, who = append(list, r), append(who, e)
+	}
+	for r := range ranges {
+		if m.blocks&(1<<r) != 0 {
+			if k := v.block(r); k.inc > 0 {
+				b, _ = appendBlock(b, k, most)
+			}
+		}
+	}
+	for _, e := range must {
+		add(e)
+	}
+	const fit = 110 // entries of two bytes that go into a datagram
+	if len(v.news) > fit {
+		slices.SortStableFunc(v.news, func(a, b *entry) int { return b.tell - a.tell })
+	}
+	for _, e := range v.news[:min(fit, len(v.news))] {
+		if !slices.Contains(must, e) {
+			add(e)
+		}
+	}
+	if len(list) > 0 {
+		var n int
+		b, n = appendEntries(b, list, most)
+		for _, e := range who[:n] {
+			e.tell = max(0, e.tell-1)
+		}
+	}
+	v.news = slices.DeleteFunc(v.news, func(e *entry) bool { return e.tell == 0 })
+	if len(v.naming) > 0 && v.isLive(num) { // told to nobody, a name would be lost
+		names := make([]naming, 0, len(v.naming))
+		for _, e := range v.naming[:min(fit, len(v.naming))] {
+			names = append(names, naming{e.Num, e.Name})
+		}
+		var n int
+		b, n = appendNames(b, names, most)
+		for _, e := range v.naming[:n] {
+			e.tellName--
+		}
+		v.naming = slices.DeleteFunc(v.naming, func(e *entry) bool { return e.tellName <= 0 })
+	}
+	v.tokens = max(-reserve, v.tokens-1)
+	v.Counter.Sent++
+	v.Counter.BytesSent += len(b)
+	v.out.Sends = append(v.out.Sends, Send{num, to, b})
+}
+
+// isLive reports whether a number is held to live.
+func (v *View) isLive(num int) bool { return num >= 0 && v.all[num].live >= 0 && v.all[num].State == Alive }
+
+// flush tells fresh news to a few at once, while the rate allows it.
+func (v *View) flush() {
+	v.flushAt = math.Inf(1)
+	if len(v.news) == 0 {
+		return
+	}
+	for range min(fanOut, len(v.live)) {
+		if v.tokens < burst/3 || v.failing() {
+			return
+		}
+		v.send(v.anyone(), &message{word: gossip}, false)
+	}
+}
+
+// anyone draws a live member to tell something. In a mass death most that are
+// held alive are not: then it is one of those heard from last.
+func (v *View) anyone() *entry {
+	if v.failing() {
+		e := v.recent[v.rng.IntN(len(v.recent))]
+		if e != nil && e.live >= 0 && e.heard > v.now-5*v.o.Times.Period {
+			return e
+		}
+	}
+	best := v.live[v.rng.IntN(len(v.live))]
+	for range 3 {
+		if best.State == Suspect {
+			best = v.live[v.rng.IntN(len(v.live))]
+		}
+	}
+	return best
+}
+
+// failing reports whether many of the fleet are suspects.
+func (v *View) failing() bool { return len(v.suspect) > 2 && 20*len(v.suspect) > len(v.live) }
+
+// leave tells a few others that this front end leaves.
+func (v *View) leave() {
+	if v.leaving || !v.started {
+		return
+	}
+	v.leaving = true
+	v.set(v.self, v.self.Incarnation, Left, 0)
+	list := v.after(watchers)
+	for range min(2*fanOut, len(v.live)) {
+		list = append(list, v.live[v.rng.IntN(len(v.live))])
+	}
+	for _, e := range list {
+		v.send(e, &message{word: gossip}, false)
+	}
+}
--- /dev/null
+++ b/internal/membersim/sim.go
@@ -0,0 +1,349 @@
+// Package membersim plays a fleet of views (internal/member) on a simulated
+// network and a virtual clock, in one goroutine: the same options and seed
+// always give the same run, at sizes that sockets don't reach.
+package membersim
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+
+	"dewhill/internal/faults"
+	"dewhill/internal/member"
+	"dewhill/internal/peer"
+)
+
+// Options describe a run.
+type Options struct {
+	Seed       uint64
+	Size       int
+	Least      float64 // ms a datagram takes at the least, and at the most
+	Most       float64
+	Loss       float64 // part of the datagrams that is lost, all along
+	Faults     faults.Timeline
+	Times      member.Times
+	Fixed      bool                                        // no local health
+	NoRefuting bool                                        // no refutation: a guard left out
+	Seeds      int                                         // above 0: no lists; so many members are known to all
+	Together   bool                                        // all start at once, else within a second
+	Check      func(s *Sim, observer int, c member.Change) // sees every change
+}
+
+// Sim is a fleet at work.
+type Sim struct {
+	O     Options
+	Now   float64
+	Views []*member.View // nil: no process
+	Rng   *rand.Rand
+
+	addrs  []netip.AddrPort
+	at     map[netip.AddrPort]int
+	born   []int // processes of each so far
+	paused []bool
+	kept   [][]event // datagrams that wait for a paused process
+	wakeAt []float64
+	queue  events
+	seq    int
+	Events int
+	// Gone are the counters of processes that have ended.
+	Gone member.Counters
+}
+
+type event struct {
+	at   float64
+	seq  int
+	to   int // process
+	born int // of which life; a wake-up of an earlier one is void
+	from int
+	msg  []byte // nil: a wake-up, or do
+	do   func()
+}
+
+type events []event
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *events) Pop() (x any) {
+	old := *q
+	x = old[len(old)-1]
+	old[len(old)-1] = event{}
+	*q = old[:len(old)-1]
+	return x
+}
+
+// mostKept is how many datagrams the socket of a paused process keeps.
+const mostKept = 200
+
+// New starts a fleet.
+func New(o Options) *Sim {
+	if o.Most == 0 {
+		o.Least, o.Most = 1.7, 31
+	}
+	s := &Sim{O: o, Rng: rand.New(rand.NewPCG(o.Seed, 0x73696d)), Views: make([]*member.View, o.Size), born: make([]int, o.Size),
+		paused: make([]bool, o.Size), kept: make([][]event, o.Size), wakeAt: make([]float64, o.Size), at: map[netip.AddrPort]int{}}
+	for i := range o.Size {
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 7946)
+		s.addrs = append(s.addrs, a)
+		s.at[a] = i
+	}
+	for i := range o.Size {
+		if o.Together {
+			s.Birth(i)
+		} else {
+			s.After(1000*s.Rng.Float64(), func() { s.Birth(i) })
+		}
+	}
+	for _, f := range o.Faults.Faults {
+		s.After(f.At, func() { s.begin(f) })
+		s.After(f.At+f.For, func() { s.end(f) })
+	}
+	return s
+}
+
+// After does something after a time.
+func (s *Sim) After(ms float64, do func()) { s.push(event{at: s.Now + ms, do: do}) }
+
+func (s *Sim) push(e event) {
+	s.seq++
+	e.seq = s.seq
+	heap.Push(&s.queue, e)
+}
+
+// Birth starts a process.
+func (s *Sim) Birth(i int) {
+	if s.Views[i] != nil {
+		return
+	}
+	o := member.Options{Name: fmt.Sprint("n", i), Self: i, Times: s.O.Times, FixedTimeouts: s.O.Fixed, NoRefuting: s.O.NoRefuting,
+		Datagram: peer.MostMessage - peer.Overhead}
+	if s.O.Seeds > 0 {
+		o.Self, o.Addr, o.Seeds, o.Size = -1, s.addrs[i], s.addrs[:s.O.Seeds], s.O.Size
+	} else {
+		o.Peers = s.addrs
+	}
+	s.born[i]++
+	s.Views[i] = member.New(o, s.O.Seed<<20+uint64(i)<<8+uint64(s.born[i]))
+	s.wakeAt[i] = 0
+	s.apply(i, member.Start{})
+}
+
+// Death ends a process: no more is heard of it.
+func (s *Sim) Death(i int) {
+	if v := s.Views[i]; v != nil {
+		add(&s.Gone, &v.Counter)
+	}
+	s.Views[i], s.paused[i], s.kept[i] = nil, false, nil
+}
+
+// add adds counters up.
+func add(to, c *member.Counters) {
+	to.Probes, to.Failed, to.Suspicions = to.Probes+c.Probes, to.Failed+c.Failed, to.Suspicions+c.Suspicions
+	to.Refutations, to.FalseSuspicions, to.Deaths = to.Refutations+c.Refutations, to.FalseSuspicions+c.FalseSuspicions, to.Deaths+c.Deaths
+	to.Sent, to.BytesSent, to.Received = to.Sent+c.Sent, to.BytesSent+c.BytesSent, to.Received+c.Received
+	to.Spoilt += c.Spoilt
+}
+
+// Total is the counters of all processes there ever were.
+func (s *Sim) Total() (c member.Counters) {
+	c = s.Gone
+	for _, v := range s.Views {
+		if v != nil {
+			add(&c, &v.Counter)
+		}
+	}
+	return c
+}
+
+// Stop pauses a process, and Resume lets it go on.
+func (s *Sim) Stop(i int) { s.paused[i] = s.Views[i] != nil }
+
+// Resume lets a paused process go on with what has come for it meanwhile.
+func (s *Sim) Resume(i int) {
+	if !s.paused[i] {
+		return
+	}
+	s.paused[i] = false
+	kept := s.kept[i]
+	s.kept[i] = nil
+	for _, e := range kept {
+		s.deliver(e)
+	}
+	s.wake(i)
+}
+
+func (s *Sim) begin(f faults.Fault) {
+	for _, i := range f.Who {
+		switch f.Kind {
+		case faults.Kill, faults.Mass:
+			s.Death(i)
+		case faults.Term:
+			if s.Views[i] != nil {
+				s.apply(i, member.Leave{})
+			}
+			s.Death(i)
+		case faults.Pause:
+			s.Stop(i)
+		}
+	}
+}
+
+func (s *Sim) end(f faults.Fault) {
+	for _, i := range f.Who {
+		switch f.Kind {
+		case faults.Kill, faults.Mass, faults.Term:
+			s.Birth(i)
+		case faults.Pause:
+			s.Resume(i)
+		}
+	}
+}
+
+// apply gives a view an event and sends what it answers.
+func (s *Sim) apply(i int, ev member.Event) {
+	v := s.Views[i]
+	out := v.Apply(s.Now, ev)
+	if s.O.Check != nil {
+		for _, c := range out.Changes {
+			s.O.Check(s, i, c)
+		}
+	}
+	for _, d := range out.Sends {
+		to := d.Num
+		if to < 0 {
+			var ok bool
+			if to, ok = s.at[d.To]; !ok {
+				continue
+			}
+		}
+		if s.Rng.Float64() < s.O.Loss {
+			continue
+		}
+		late := s.O.Least + (s.O.Most-s.O.Least)*s.Rng.Float64()
+		if len(s.O.Faults.Faults) == 0 {
+			s.push(event{at: s.Now + late, to: to, from: i, msg: d.Msg})
+			continue
+		}
+		for _, c := range s.O.Faults.Pass(s.Rng, s.Now, i, to, peer.Wrap(peer.Fleet, d.Msg)) {
+			if kind, msg, err := peer.Unwrap(c.Msg); err == nil && kind == peer.Fleet {
+				s.push(event{at: s.Now + late + c.Late, to: to, from: i, msg: msg})
+			}
+		}
+	}
+	s.arm(i)
+}
+
+// arm sees to it that a view is woken when it asks to be.
+func (s *Sim) arm(i int) {
+	if next := s.Views[i].Next(); s.wakeAt[i] <= s.Now || next < s.wakeAt[i] {
+		s.wakeAt[i] = next
+		s.push(event{at: next, to: i, born: s.born[i]})
+	}
+}
+
+func (s *Sim) wake(i int) {
+	if v := s.Views[i]; v != nil && !s.paused[i] && v.Next() <= s.Now {
+		s.apply(i, member.Woke{})
+	} else if v != nil && !s.paused[i] {
+		s.arm(i)
+	}
+}
+
+func (s *Sim) deliver(e event) {
+	v := s.Views[e.to]
+	if v == nil {
+		return
+	}
+	if s.paused[e.to] {
+		if len(s.kept[e.to]) < mostKept {
+			s.kept[e.to] = append(s.kept[e.to], e)
+		}
+		return
+	}
+	h := member.Heard{Num: e.from, Msg: e.msg}
+	if s.O.Seeds > 0 {
+		h.Num, h.From = -1, s.addrs[e.from]
+	}
+	s.apply(e.to, h)
+}
+
+// Run goes on until a time.
+func (s *Sim) Run(until float64) {
+	for len(s.queue) > 0 && s.queue[0].at <= until {
+		e := heap.Pop(&s.queue).(event)
+		s.Now = e.at
+		s.Events++
+		switch {
+		case e.do != nil:
+			e.do()
+		case e.msg != nil:
+			s.deliver(e)
+		case e.born == s.born[e.to]:
+			s.wake(e.to)
+		}
+	}
+	s.Now = until
+}
+
+// Until runs until a condition holds, looked at every so many ms, and returns
+// when it did; -1: not before the end.
+func (s *Sim) Until(end, every float64, holds func() bool) float64 {
+	for s.Now < end {
+		s.Run(s.Now + every)
+		if holds() {
+			return s.Now
+		}
+	}
+	return -1
+}
+
+// Equal reports whether all processes have one digest and call themselves settled.
+func (s *Sim) Equal() bool {
+	var first *member.View
+	for i, v := range s.Views {
+		if v == nil || s.paused[i] {
+			continue
+		}
+		if first == nil {
+			first = v
+		}
+		if v.Digest() != first.Digest() || !v.Settled() {
+			return false
+		}
+	}
+	return true
+}
+
+// Wrong tells what is wrong with the views of live processes: one that lives and
+// is not held alive, or one that is dead and is.
+func (s *Sim) Wrong() string {
+	for i, v := range s.Views {
+		if v == nil {
+			continue
+		}
+		held := map[string]bool{}
+		for k, m := range v.Members() {
+			j := k
+			if s.O.Seeds > 0 {
+				j = s.at[m.Addr]
+				held[m.Name] = true
+			}
+			lives := m.State == member.Alive || m.State == member.Suspect
+			if lives != (s.Views[j] != nil) {
+				return fmt.Sprintf("front end %d holds %d as %v, incarnation %d; has a process: %v", i, j, m.State, m.Incarnation, s.Views[j] != nil)
+			}
+		}
+		if s.O.Seeds > 0 {
+			for j, o := range s.Views {
+				if o != nil && !held[fmt.Sprint("n", j)] {
+					return fmt.Sprintf("front end %d doesn't know %d", i, j)
+				}
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/membersim/sim_test.go
@@ -0,0 +1,129 @@
+package membersim
+
+import (
+	"fmt"
+	"testing"
+
+	"dewhill/internal/faults"
+	"dewhill/internal/member"
+)
+
+// watch checks, at every change of every view, what is promised whatever the
+// network does: no incarnation goes back, and none that is dead lives again.
+func watch(t *testing.T, o *Options) {
+	type key struct{ observer, born, num int }
+	last := map[key]member.Member{}
+	o.Check = func(s *Sim, observer int, c member.Change) {
+		k := key{observer, s.born[observer], c.Num}
+		was := last[k]
+		if c.Incarnation < was.Incarnation || c.Incarnation == was.Incarnation && c.State < was.State {
+			t.Errorf("seed %d, %.0f ms: front end %d holds %d as %v at %d after %v at %d", o.Seed, s.Now, observer, c.Num, c.State,
+				c.Incarnation, was.State, was.Incarnation)
+		}
+		last[k] = c.Member
+	}
+}
+
+// settle runs until all views are one and true, for so many ms at most.
+func settle(s *Sim, within float64) (took float64, wrong string) {
+	from := s.Now
+	if at := s.Until(s.Now+within, 100, func() bool { return s.Equal() && s.Wrong() == "" }); at >= 0 {
+		return at - from, ""
+	}
+	if wrong = s.Wrong(); wrong == "" {
+		wrong = "digests differ"
+	}
+	return within, wrong
+}
+
+// The timelines that are played on processes too: afterwards all views are one
+// and true. Without refutation they are not, which the same check finds.
+func TestViewsSettleAfterFaults(t *testing.T) {
+	for seed := uint64(1); seed <= 20; seed++ {
+		line := faults.Draw(seed, 16, 10, 20_000)
+		o := Options{Seed: seed, Size: 16, Faults: line}
+		watch(t, &o)
+		s := New(o)
+		s.Run(line.End())
+		if took, wrong := settle(s, 15_000); wrong != "" {
+			t.Errorf("%vafter %.0f ms: %s", line, took, wrong)
+		}
+	}
+	found := false
+	for seed := uint64(1); seed <= 5 && !found; seed++ {
+		s := New(Options{Seed: seed, Size: 8, NoRefuting: true, Faults: faults.Timeline{Faults: []faults.Fault{
+			{Kind: faults.Pause, At: 5000, For: 15_000, Who: []int{3}}}}})
+		s.Run(20_000)
+		_, wrong := settle(s, 60_000)
+		found = wrong != ""
+	}
+	if !found {
+		t.Error("views without refutation pass the check")
+	}
+}
+
+// The same seed gives the same run.
+func TestSameSeedSameRun(t *testing.T) {
+	run := func() string {
+		s := New(Options{Seed: 7, Size: 60, Loss: 0.1, Faults: faults.Draw(7, 60, 8, 10_000)})
+		s.Run(20_000)
+		return fmt.Sprint(s.Events, s.Total(), s.Views[3].Digest())
+	}
+	if a, b := run(), run(); a != b {
+		t.Errorf("%s\n%s", a, b)
+	}
+}
+
+// Joining by a few seed addresses, with no list: all find one another, and after
+// a partition so long that each side has forgotten the other they do again.
+func TestSeedsAndForgottenSides(t *testing.T) {
+	times := member.Defaults()
+	times.Forget = 20_000
+	const size = 12
+	s := New(Options{Seed: 5, Size: size, Seeds: 2, Times: times, Faults: faults.Timeline{Faults: []faults.Fault{
+		{Kind: faults.TwoWay, At: 40_000, For: 120_000, Who: []int{0, 3, 4, 9, 11}}}}})
+	if took, wrong := settle(s, 30_000); wrong != "" {
+		t.Fatalf("after %.0f ms: %s", took, wrong)
+	}
+	s.Run(159_000)
+	if n := len(s.Views[1].Members()); n != size-5 {
+		t.Errorf("a side of %d holds %d members just before the healing: the other was not forgotten", size-5, n)
+	}
+	if s.Views[0].Majority() || !s.Views[1].Majority() {
+		t.Error("the smaller side sees a majority, or the larger none")
+	}
+	s.Run(160_000)
+	if took, wrong := settle(s, 30_000); wrong != "" {
+		t.Errorf("%.0f ms after the healing: %s", took, wrong)
+	}
+}
+
+// A member that is dead for good is forgotten, and stays so whoever still has
+// old news of it.
+func TestTheForgottenStayForgotten(t *testing.T) {
+	times := member.Defaults()
+	times.Forget = 20_000
+	const size = 10
+	// One is paused all the while, and wakes believing that the dead one lives.
+	s := New(Options{Seed: 9, Size: size, Seeds: 2, Times: times, Faults: faults.Timeline{Faults: []faults.Fault{
+		{Kind: faults.Pause, At: 29_900, For: 150_000, Who: []int{6}}}}})
+	s.Run(30_000)
+	s.Death(5)
+	s.Run(179_000)
+	back := false
+	s.O.Check = func(s *Sim, o int, c member.Change) {
+		back = back || o != 6 && c.Name == "n5" && (c.State == member.Alive || c.State == member.Suspect)
+	}
+	s.Run(240_000)
+	if back {
+		t.Error("a member that was forgotten came back by old news")
+	}
+	if s.Views[6].Counter.Pauses == 0 {
+		t.Error("the paused one did not find out")
+	}
+	for i, v := range s.Views {
+		if v != nil && i != 6 && len(v.Members()) != size-1 {
+			t.Errorf("front end %d holds %d members, want %d", i, len(v.Members()), size-1)
+		}
+	}
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -11,6 +11,7 @@
 
 	"dewhill/internal/board"
 	"dewhill/internal/fleet"
+	"dewhill/internal/group"
 	"dewhill/internal/wire"
 )
 
@@ -38,6 +39,8 @@
 	// Fleet are the operators' settings of subsets, from our own TOML file;
 	// the platform's JSON does not carry them.
 	Fleet fleet.Options `json:"-"`
+	// Group are those of what front ends keep together.
+	Group group.Options `json:"-"`
 }
 
 // ReadFleet reads the fleet's options from a TOML file. Where there is no
@@ -60,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Config{path: path, Fleet: fleet.Defaults()}
+	c := &Config{path: path, Fleet: fleet.Defaults(), Group: group.Defaults()}
 	if err := json.Unmarshal(data, c); err != nil {
 		return nil, fmt.Errorf("%s: %v", path, err)
 	}
--- a/internal/node/desk.go
+++ b/internal/node/desk.go
@@ -159,6 +159,16 @@
 	d.n.front.Away(true)
 }
 
+// Fleet is the view of the fleet, where one is kept.
+func (d *desk) Fleet() (b []byte) {
+	d.n.loop.ask(func() {
+		if d.n.group != nil {
+			b = d.n.group.Fleet()
+		}
+	})
+	return b
+}
+
 // calls are the answers to a class's requests.
 type calls struct {
 	Success int `json:"success"`
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"net"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime"
@@ -19,6 +21,7 @@
 	"dewhill/internal/core"
 	"dewhill/internal/engine"
 	"dewhill/internal/fleet"
+	"dewhill/internal/group"
 	"dewhill/internal/peer"
 	"dewhill/internal/rest"
 )
@@ -47,8 +50,9 @@
 	front *rest.Front
 	pool  *engine.Pool
 	link  *peer.Link
+	group *group.Group // nil: front ends keep nothing together
 	count struct {
-		Notices, BoardTroubles, Told, Heard, Strange, Reloads, BadReloads, EmptyLists int
+		Notices, BoardTroubles, Told, Heard, Strange, Foreign, Reloads, BadReloads, EmptyLists int
 	}
 	desk     *desk
 	leaving  bool
@@ -197,13 +201,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if cfg.PeerListen != "" && s.MayTell {
+	if cfg.PeerListen != "" && (s.MayTell || cfg.Group.On) {
 		if n.link, err = peer.Open(sharing(share), cfg.PeerListen, cfg.Peers, cfg.PeersAll, s.Self); err != nil {
 			return nil, fmt.Errorf("peers: %v", err)
 		}
 		n.loop.tell = n.tell
-		go n.link.Receive(func(from int, msg []byte) {
-			n.loop.Post(func() { n.count.Heard++; n.loop.apply(core.Heard{Peer: from, Message: msg}) })
+		n.join(s.Self)
+		go n.link.Receive(func(num int, from netip.AddrPort, msg []byte) {
+			n.loop.Post(func() { n.heard(num, from, msg) })
 		}, func() { n.loop.Post(func() { n.count.Strange++ }) })
 	}
 	n.notices(&cfg.Known)
@@ -216,13 +221,60 @@
 		}}, nil
 }
 
+// join starts this front end's part in what the fleet keeps together, if that
+// is on.
+func (n *Node) join(self int) {
+	o := n.cfg.Group
+	if !o.On {
+		return
+	}
+	n.link.Most, n.link.Open = max(n.link.Most, o.Datagram), len(o.Seeds) > 0
+	who := group.Who{Name: n.cfg.Name, Self: self, Peers: n.link.Peers(), Addr: n.link.Addr(),
+		Seed: rand.Uint64()} // not the configuration's: a process started again with it must not pass for the one before
+	n.group = group.New(o, who, n.loop, n.link, n.counts)
+}
+
+// counts takes over which front ends count for shares of work.
+func (n *Node) counts(alive []bool) {
+	n.table.plan.Alive = slices.Clone(alive)
+	fleet := 0
+	for _, yes := range alive {
+		if yes {
+			fleet++
+		}
+	}
+	n.loop.Logf("fleet: %d of %d front ends count", fleet, len(alive))
+	n.loop.apply(core.Fleet{Alive: fleet})
+	n.loop.apply(core.EngineList{Whole: true, Engines: n.table.apply(false, nil)})
+}
+
+// heard takes a datagram. What is not of the decisions belongs to the group, and
+// without one to nobody.
+func (n *Node) heard(num int, from netip.AddrPort, msg []byte) {
+	switch kind, _, err := peer.Unwrap(msg); {
+	case err == nil && kind == peer.Demand && num >= 0:
+		n.count.Heard++
+		n.loop.apply(core.Heard{Peer: num, Message: msg})
+	case n.group != nil:
+		n.group.Heard(num, from, msg)
+	default:
+		n.count.Foreign++
+	}
+}
+
 // leave tells all parts that the program is to end. Peers hear from one process
 // of a front end at a time.
 func (n *Node) leave(replaced bool) {
 	n.leaving = true
 	n.front.Leave()
+	if n.group != nil && !replaced {
+		n.group.Leave()
+	}
 	if replaced {
 		n.desk.leave()
+		if n.group != nil {
+			n.group.Close()
+		}
 		if n.link != nil {
 			n.loop.tell = nil
 			n.link.Close()
@@ -329,7 +381,11 @@
 func (n *Node) report() any {
 	var mem runtime.MemStats
 	runtime.ReadMemStats(&mem)
-	return map[string]any{"front": n.front.Count, "requests": n.loop.Count, "engines": n.pool.Count, "node": n.count,
+	all := map[string]any{"front": n.front.Count, "requests": n.loop.Count, "engines": n.pool.Count, "node": n.count,
 		"open": n.loop.core.Open(), "engine_conns": n.pool.Conns(), "classes": n.loop.core.Census(),
 		"heap_mb": mem.HeapSys >> 20, "goroutines": runtime.NumGoroutine()}
+	if n.group != nil {
+		all["group"] = n.group.Report()
+	}
+	return all
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -10,25 +10,28 @@
 	"time"
 )
 
-// most is the largest message that may be sent.
-const most = 256
-
 // Link is the socket for messages between front ends.
 type Link struct {
-	c    *net.UDPConn
-	to   []netip.AddrPort
-	from map[netip.AddrPort]int
+	c     *net.UDPConn
+	to    []netip.AddrPort // where messages to all go
+	peers []netip.AddrPort // by number
+	from  map[netip.AddrPort]int
+	// Most is the bytes of the longest datagram, and Open lets those of strangers
+	// in, as number -1. Both are set before anything is sent or received.
+	Most int
+	Open bool
 }
 
 // Open binds the socket. A message goes to all, or where that is empty to each
 // peer but self.
 func Open(how *net.ListenConfig, listen string, peers []string, all string, self int) (*Link, error) {
-	l := &Link{from: map[netip.AddrPort]int{}}
+	l := &Link{from: map[netip.AddrPort]int{}, Most: MostMessage}
 	for i, p := range peers {
 		addr, err := netip.ParseAddrPort(p)
 		if err != nil {
 			return nil, err
 		}
+		l.peers = append(l.peers, addr)
 		if i == self {
 			continue
 		}
@@ -52,8 +55,8 @@
 
 // Send sends a message to all peers. It may be lost.
 func (l *Link) Send(msg []byte) error {
-	if len(msg) > most {
-		return errors.New("message too long")
+	if len(msg) > l.Most {
+		return errTooLong
 	}
 	var first error
 	for _, to := range l.to {
@@ -64,12 +67,33 @@
 	return first
 }
 
+var errTooLong = errors.New("message too long")
+
+// Peers are the addresses of the list, by number.
+func (l *Link) Peers() []netip.AddrPort { return l.peers }
+
+// Addr is the address that the link is bound to.
+func (l *Link) Addr() netip.AddrPort { return l.c.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// SendTo sends a message to a number of the list, or where that is below 0 to
+// an address. It may be lost.
+func (l *Link) SendTo(num int, to netip.AddrPort, msg []byte) error {
+	if len(msg) > l.Most {
+		return errTooLong
+	}
+	if num >= 0 {
+		to = l.peers[num]
+	}
+	_, err := l.c.WriteToUDPAddrPort(msg, to)
+	return err
+}
+
 // Receive hands over messages until the socket is closed. What is too long or
 // comes from elsewhere is dropped and counted by strange.
-func (l *Link) Receive(heard func(peer int, msg []byte), strange func()) {
-	var buf [most + 1]byte
+func (l *Link) Receive(heard func(peer int, from netip.AddrPort, msg []byte), strange func()) {
+	buf := make([]byte, l.Most+1)
 	for {
-		n, from, err := l.c.ReadFromUDPAddrPort(buf[:])
+		n, from, err := l.c.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		} else if err != nil {
@@ -78,12 +102,16 @@
 			time.Sleep(time.Millisecond)
 			continue
 		}
-		k, ok := l.from[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
-		if !ok || n > most {
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		k, ok := l.from[from]
+		if !ok {
+			k = -1
+		}
+		if !ok && !l.Open || n > l.Most {
 			strange()
 			continue
 		}
-		heard(k, slices.Clone(buf[:n]))
+		heard(k, from, slices.Clone(buf[:n]))
 	}
 }
 
--- a/internal/testprog/testprog.go
+++ b/internal/testprog/testprog.go
@@ -23,13 +23,31 @@
 // Descriptors limits those of programs started from then on, where above 0.
 var Descriptors = 0
 
-var build = sync.OnceValues(func() (string, error) {
+// builds are the programs built so far, by their tags.
+var builds = struct {
+	mu sync.Mutex
+	by map[string]func() (string, error)
+}{by: map[string]func() (string, error){}}
+
+func build(tags []string) (string, error) {
+	key := strings.Join(tags, ",")
+	builds.mu.Lock()
+	f := builds.by[key]
+	if f == nil {
+		f = sync.OnceValues(func() (string, error) { return compile(key) })
+		builds.by[key] = f
+	}
+	builds.mu.Unlock()
+	return f()
+}
+
+func compile(tags string) (string, error) {
 	dir, err := os.MkdirTemp("", "dewhill-test-")
 	if err != nil {
 		return "", err
 	}
 	bin := filepath.Join(dir, "dewhill")
-	args := []string{"build", "-o", bin}
+	args := []string{"build", "-o", bin, "-tags", tags}
 	if raceOn {
 		args = append(args, "-race")
 	}
@@ -38,7 +56,7 @@
 		os.Stderr.Write(out)
 	}
 	return bin, err
-})
+}
 
 // Program is the program, started.
 type Program struct {
@@ -66,7 +84,14 @@
 // Start starts the program with further environment and arguments.
 func Start(t testing.TB, env []string, args ...string) *Program {
 	t.Helper()
-	bin, err := build()
+	return StartTagged(t, nil, env, args...)
+}
+
+// StartTagged starts the program as built with tags: a guard left out, to show
+// that a check finds it missing.
+func StartTagged(t testing.TB, tags, env []string, args ...string) *Program {
+	t.Helper()
+	bin, err := build(tags)
 	if err != nil {
 		t.Fatal(err)
 	}
