View: nobody is called dead on hearsay, losses are told from deaths; off is as before

Ruled out: the suspects' own answers, which come. After a healing, news that the other side is dead, of use to the dead alone, went before their refutations (trace of views by half second).

Change: a front end probes a suspect itself before it calls it dead; it learns from members that live how much is lost, probes more often then and holds nothing for a mass death; news of the living goes first; the bucket fills by 98% of the rate and holds 80. With the view off POST /control/fleet is 404 again and the counters name no kind; the test compares datagrams told, timers and answers.

--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -170,16 +170,19 @@
 			return 404, nil
 		}
 	}
+	var view []byte
+	if name == "fleet" {
+		if view = d.desk.Fleet(); view == nil {
+			return 404, nil // as for any name that is not known
+		}
+	}
 	switch {
 	case method != want:
 		return 405, nil
 	case name == "counters":
 		return 200, d.desk.Counters()
 	case name == "fleet":
-		if b := d.desk.Fleet(); b != nil {
-			return 200, b
-		}
-		return 404, nil
+		return 200, view
 	case name == "ready" && d.desk.Ready():
 		return 200, nil
 	case name == "ready":
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -52,8 +52,12 @@
 	}
 	if was.State == Suspect {
 		v.suspect = slices.DeleteFunc(v.suspect, func(o *entry) bool { return o == e })
+		e.last = false
 		if s <= Suspect {
 			v.Counter.FalseSuspicions++
+			if slices.Contains(e.accusers[:e.accused], v.id(v.self)) {
+				v.learnLoss(true) // a probe of its own failed, and the member lives
+			}
 		}
 	}
 	if alive := s == Alive || s == Suspect; e != v.self && alive != (e.live >= 0) {
@@ -104,7 +108,10 @@
 	} else if !v.watches(e) {
 		ms += othersLater
 	}
-	e.until = e.suspect + ms
+	ms -= min(ms/2, v.wide(lastTakes*v.o.Times.Retry)) // the last probe is out meanwhile
+	if e.until = e.suspect + ms; e.last {
+		e.until = math.Inf(1) // until that probe has ended
+	}
 }
 
 // accuse takes in that somebody suspects a suspect too.
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -143,16 +143,24 @@
 func (v *View) step(p *probe) bool {
 	e := p.of
 	if e.heard > p.begun || e.live < 0 {
+		if e.live >= 0 {
+			v.learnLoss(true)
+		}
+		v.spared(e)
 		return true
 	}
 	p.at = v.now + v.wide(v.o.Times.Retry)
+	direct := pings
+	if v.lossy() {
+		direct = lossyPings
+	}
 	switch p.stage++; {
-	case p.stage == 1:
+	case p.stage < direct:
 		if !v.failing() { // else one ping has to do
 			v.send(e, &message{word: ping, seq: p.seq}, false)
 		}
 		return false
-	case p.stage == 2 && p.full && !v.failing(): // else most who could be asked may be gone
+	case p.stage == direct && p.full && !v.failing(): // else most who could be asked may be gone
 		p.at = v.now + v.wide(1.6*v.o.Times.Retry) // there and back twice
 		asked := 0
 		for range 4 * helpers {
@@ -187,6 +195,9 @@
 	v.failed[int(p.seq)%len(v.failed)] = p.seq
 	if e.State == Alive {
 		v.set(e, e.Incarnation, Suspect, v.id(v.self))
+	} else if e.State == Suspect && e.last {
+		v.dead(e)
+		return
 	} else if e.State == Suspect {
 		v.accuse(e, v.id(v.self))
 	}
@@ -204,6 +215,50 @@
 	}
 }
 
+// lastWord probes a suspect whose time is up once more: only a front end that
+// has itself asked in vain calls anybody dead. It guards against what is only
+// missed: at a loss, most suspicions that run out are of live members whose
+// refutation did not come through.
+func (v *View) lastWord(e *entry) {
+	e.last, e.until = true, math.Inf(1)
+	if !e.probing { // else the one under way decides
+		v.probe(e, true, false)
+	}
+}
+
+// spared takes in that a suspect was heard from while the last probe was out.
+func (v *View) spared(e *entry) {
+	if e.State == Suspect && e.last {
+		v.relent(e)
+	}
+}
+
+// relent gives a suspect its time anew: it lives, and has yet to hear of the
+// suspicion.
+func (v *View) relent(e *entry) {
+	e.last, e.suspect = false, v.now
+	v.term(e)
+}
+
+func (v *View) dead(e *entry) {
+	v.Counter.Deaths++
+	v.set(e, e.Incarnation, Dead, 0)
+}
+
+// learnLoss takes in whether a first ping to a member that lives went unanswered
+// in time: how lossy the network is, as far as this front end can see. Members
+// that are gone tell nothing of that.
+func (v *View) learnLoss(lost bool) {
+	x := 0.0
+	if lost {
+		x = 1
+	}
+	v.lost += (x - v.lost) * lossWeight
+}
+
+// lossy reports whether so much is lost that failed probes say little.
+func (v *View) lossy() bool { return v.lost > mostLost && !v.o.FixedTimeouts }
+
 // answered ends the probe of a number.
 func (v *View) answered(seq uint32, by *entry) {
 	for i, p := range v.probes {
@@ -212,7 +267,9 @@
 				v.span = 1
 			}
 			v.better()
+			v.learnLoss(p.stage > 0)
 			p.of.heard = max(p.of.heard, v.now)
+			v.spared(p.of)
 			v.probes = slices.Delete(v.probes, i, i+1)
 			return
 		}
@@ -456,7 +513,7 @@
 const worthBlock = 5
 
 // appendAlike tells much news in few bytes: of each range the members that have
-// the incarnation and state most of its news is of, as many ranges as fit.
+// the incarnation and state whose news is worth most, as many ranges as fit.
 func (v *View) appendAlike(b []byte, most int) []byte {
 	from := v.rng.IntN(ranges)
 	for k := range ranges {
@@ -468,7 +525,7 @@
 				n := 0
 				for _, o := range v.all[lo:hi] {
 					if o.tell > 0 && same(o, e) {
-						n++
+						n += weight(o)
 					}
 				}
 				if n > best {
@@ -476,7 +533,7 @@
 				}
 			}
 		}
-		if best < worthBlock {
+		if best < 4*worthBlock {
 			continue
 		}
 		g := block{r: r, inc: v.all[of].Incarnation, of: v.all[of].State, one: true, bits: make([]byte, (hi-lo+7)/8)}
@@ -498,6 +555,17 @@
 	return b
 }
 
+// weight is what it is worth to tell news of a member: the less often it was told
+// the more, and twice as much of one that lives. After a partition all hear first
+// that the other side is dead, which serves nobody but the dead; what they answer
+// to it, which all must hear, would wait behind that.
+func weight(e *entry) int {
+	if e.State == Alive {
+		return 2 * e.tell
+	}
+	return e.tell
+}
+
 // same reports whether two members have the same incarnation and state.
 func same(a, b *entry) bool { return a.Incarnation == b.Incarnation && a.State == b.State }
 
@@ -712,8 +780,13 @@
 // storm reports whether there is so much news that it is told by whole ranges.
 func (v *View) storm() bool { return len(v.news) > 40 || v.failing() }
 
-// failing reports whether many of the fleet are suspects.
-func (v *View) failing() bool { return len(v.suspect) > 2 && 20*len(v.suspect) > len(v.live) }
+// failing reports whether many of the fleet are suspects and not for want of a
+// network that carries what is sent: the ways in which much failing at once is
+// met make probes weaker, and would bring on more suspects where the losses are
+// the network's.
+func (v *View) failing() bool {
+	return len(v.suspect) > 2 && 20*len(v.suspect) > len(v.live) && !v.lossy()
+}
 
 // leave tells a few others that this front end leaves.
 func (v *View) leave() {
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -42,15 +42,21 @@
 }
 
 const (
-	suspectBy   = 3       // accusers that make a suspicion as short as it gets
-	watchers    = 2       // live members before one on the ring that look after it
-	othersLater = 4000.0  // ms that those who are neither accusers nor watchers wait longer
-	calls       = 2       // that an accuser makes to tell a suspect of it
-	spare       = 10.0    // datagrams that must be left for news beyond what probes carry
-	helpers     = 3       // members asked to probe for another
-	fanOut      = 3       // datagrams that tell fresh news at once
-	gather      = 30.0    // ms that fresh news waits for more of it
-	burst       = 60.0    // datagrams that may be sent at once on top of the rate
+	suspectBy   = 3      // accusers that make a suspicion as short as it gets
+	watchers    = 2      // live members before one on the ring that look after it
+	othersLater = 4000.0 // ms that those who are neither accusers nor watchers wait longer
+	calls       = 2      // that an accuser makes to tell a suspect of it
+	spare       = 10.0   // datagrams that must be left for news beyond what probes carry
+	helpers     = 3      // members asked to probe for another
+	fanOut      = 3      // datagrams that tell fresh news at once
+	gather      = 30.0   // ms that fresh news waits for more of it
+	burst       = 80.0   // datagrams that may be sent at once on top of the rate
+	refilled    = 0.98   // of the rate: what bursts take on top of it is made good within an hour
+	lastTakes   = 3.6    // retry times that a probe takes in full
+	lossWeight  = 1.0 / 16
+	mostLost    = 0.3     // of first pings to members that live, above which losses are held against the network
+	lossyPings  = 4       // direct ones of a probe then
+	pings       = 2       // and else
 	reserve     = 4.0     // of these that are left for probes and answers
 	mostHealth  = 4       // by which local health may widen the time-outs
 	pausedBy    = 300.0   // ms by which a wake-up is late when this process stood still
@@ -76,8 +82,9 @@
 	Times    Times
 	// FixedTimeouts leaves local health out, to measure what it is for.
 	FixedTimeouts bool
-	// NoRefuting leaves refutation out, to show that checks find it missing.
-	NoRefuting bool
+	// NoRefuting leaves refutation out, NoLastWord the probe before a death, and
+	// NoPauses the finding out of pauses, to show that checks find them missing.
+	NoRefuting, NoLastWord, NoPauses bool
 }
 
 // Member is a member as the view has it.
@@ -130,6 +137,7 @@
 	suspect  float64 // since when the suspicion counts
 	until    float64 // and when it ends
 	call     float64 // when the suspect is told of it next
+	last     bool    // the probe that decides on it is under way
 	calls    int
 	probing  bool
 	tell     int // datagrams that are still to carry its state
@@ -171,6 +179,7 @@
 	turn    []*entry // live members still to be probed in this round
 	span    int      // members of the ring to probe at once
 	health  int
+	lost    float64 // part of the first pings to members that live that had no answer in time
 	tokens  float64
 	refill  float64
 	tickAt  float64
@@ -287,8 +296,8 @@
 	now = max(now, v.now)
 	late := now - v.next
 	v.now = now
-	v.tokens, v.refill = min(burst, v.tokens+(now-v.refill)*v.o.Times.Rate/1000), now
-	if v.started && late > pausedBy && !v.o.FixedTimeouts {
+	v.tokens, v.refill = min(burst, v.tokens+(now-v.refill)*refilled*v.o.Times.Rate/1000), now
+	if v.started && late > pausedBy && !v.o.NoPauses {
 		v.paused(late)
 	}
 	switch ev := ev.(type) {
@@ -319,6 +328,9 @@
 	}
 	v.probes, v.helping = v.probes[:0], v.helping[:0]
 	for _, e := range v.suspect {
+		if e.last {
+			v.relent(e)
+		}
 		e.suspect, e.until, e.call = e.suspect+late, e.until+late, e.call+late
 	}
 	v.worse()
@@ -374,12 +386,14 @@
 			continue
 		}
 		if e.heard > e.suspect { // heard from itself since: it has yet to hear of the suspicion
-			e.suspect = v.now
-			v.term(e)
+			v.relent(e)
+			continue
+		}
+		if !v.failing() && !v.o.NoLastWord {
+			v.lastWord(e)
 			continue
 		}
-		v.Counter.Deaths++
-		v.set(e, e.Incarnation, Dead, 0) // takes it out of suspect
+		v.dead(e) // takes it out of suspect
 		i--
 	}
 	if v.now >= v.tickAt {
--- a/internal/membersim/measure_test.go
+++ b/internal/membersim/measure_test.go
@@ -15,6 +15,7 @@
 	sizes   = []int{300, 1000}
 	only    = flag.Int("only", 0, "one size")
 	hours   = flag.Float64("hours", 1, "of loss")
+	rate    = flag.Float64("loss", 0, "one rate of loss; 0: 10% and 30%")
 )
 
 // side runs f for each seed, several at once, and returns in the order of seeds.
@@ -62,6 +63,9 @@
 		}
 		if slices.Contains([]string{"loss", "all"}, *measure) {
 			for _, loss := range []float64{0.1, 0.3} {
+				if *rate != 0 && loss != *rate {
+					continue
+				}
 				type row struct {
 					dead, suspected int
 					rate            float64
--- a/internal/membersim/sim.go
+++ b/internal/membersim/sim.go
@@ -16,18 +16,18 @@
 
 // Options describe a run.
 type Options struct {
-	Seed       uint64
-	Size       int
-	Least      float64 // ms a datagram takes at the least, and at the most
-	Most       float64
-	Loss       float64 // part of the datagrams that is lost, all along
-	Faults     faults.Timeline
-	Times      member.Times
-	Fixed      bool                                        // no local health
-	NoRefuting bool                                        // no refutation: a guard left out
-	Seeds      int                                         // above 0: no lists; so many members are known to all
-	Together   bool                                        // all start at once, else within a second
-	Check      func(s *Sim, observer int, c member.Change) // sees every change
+	Seed                             uint64
+	Size                             int
+	Least                            float64 // ms a datagram takes at the least, and at the most
+	Most                             float64
+	Loss                             float64 // part of the datagrams that is lost, all along
+	Faults                           faults.Timeline
+	Times                            member.Times
+	Fixed                            bool                                        // no local health
+	NoRefuting, NoLastWord, NoPauses bool                                        // guards left out
+	Seeds                            int                                         // above 0: no lists; so many members are known to all
+	Together                         bool                                        // all start at once, else within a second
+	Check                            func(s *Sim, observer int, c member.Change) // sees every change
 }
 
 // Sim is a fleet at work.
@@ -119,7 +119,7 @@
 	if s.Views[i] != nil {
 		return
 	}
-	o := member.Options{Name: fmt.Sprint("n", i), Self: i, Times: s.O.Times, FixedTimeouts: s.O.Fixed, NoRefuting: s.O.NoRefuting,
+	o := member.Options{Name: fmt.Sprint("n", i), Self: i, Times: s.O.Times, FixedTimeouts: s.O.Fixed, NoRefuting: s.O.NoRefuting, NoLastWord: s.O.NoLastWord, NoPauses: s.O.NoPauses,
 		Datagram: peer.MostMessage - peer.Overhead}
 	if s.O.Seeds > 0 {
 		o.Self, o.Addr, o.Seeds, o.Size = -1, s.addrs[i], s.addrs[:s.O.Seeds], s.O.Size
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -2,12 +2,34 @@
 
 import (
 	"fmt"
+	"net"
 	"testing"
 
 	"dewhill/control"
 	"dewhill/internal/fleet"
+	"dewhill/internal/group"
+	"dewhill/internal/peer"
 )
 
+// Off, the view sets no timer in the loop, asks for no larger datagrams and lets
+// no strangers in; on, it does.
+func TestGroupSetsNoTimers(t *testing.T) {
+	for _, on := range []bool{false, true} {
+		link, err := peer.Open(&net.ListenConfig{}, "127.0.0.1:0", []string{"127.0.0.1:9", "127.0.0.1:10"}, "", 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer link.Close()
+		o := group.Defaults()
+		o.On, o.Datagram = on, 1200
+		n := &Node{cfg: &Config{Name: "n0", Group: o}, loop: newLoop("n0", control.Settings{}, 1), link: link}
+		n.join(0)
+		if (n.group != nil) != on || (len(n.loop.later) > 0) != on || (link.Most > peer.MostMessage) != on || link.Open {
+			t.Errorf("on %v: %d timers, datagrams of %d bytes", on, len(n.loop.later), link.Most)
+		}
+	}
+}
+
 func listOf(n int) []control.EngineInfo {
 	list := make([]control.EngineInfo, n)
 	for i := range list {
--- a/internal/node/group_test.go
+++ b/internal/node/group_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"fmt"
 	"net"
 	"os"
 	"path/filepath"
@@ -11,10 +12,13 @@
 	"dewhill/internal/testprog"
 )
 
-// Without a file, and with the one that is shipped, peers get nothing but the
-// decisions' messages, one a turn; the door knows no view and the counters don't
-// name one. Turned on, the view speaks at once.
+// Without a file, and with the one that is shipped, nothing differs from a front
+// end that knows of no view: peers get the decisions' messages, as many as were
+// told and nothing else; the door answers for the view's name as for one that is
+// not known; clients are answered the same; the counters don't name it, also
+// where others speak of it. Turned on, the view speaks at once.
 func TestGroupIsOff(t *testing.T) {
+	var answers []string
 	for _, c := range []struct {
 		file string
 		on   bool
@@ -40,11 +44,10 @@
 		p := testprog.Start(t, []string{"PROXY_CONFIG=" + path, "PROXY_NAME=", "PROXY_LISTEN=", "TMPDIR=" + f.tmp, "PROXY_CONTROL=" + door}, args...)
 		var buf [2048]byte
 		plain, marked := 0, 0
-		peer.SetReadDeadline(time.Now().Add(testprog.Patience))
-		for plain < 4 { // three turns of 1 s and more
+		take := func() bool {
 			n, err := peer.Read(buf[:])
 			if err != nil {
-				t.Fatal(err)
+				return false
 			}
 			if n > 256 {
 				t.Errorf("a datagram of %d bytes", n)
@@ -54,17 +57,50 @@
 			} else {
 				marked++
 			}
+			return true
+		}
+		peer.SetReadDeadline(time.Now().Add(testprog.Patience))
+		for plain < 4 { // three turns of 1 s and more
+			if !take() {
+				t.Fatal("no messages come")
+			}
 		}
-		if (marked > 0) != c.on {
-			t.Errorf("%q: %d datagrams of the view beside %d of the decisions", c.file, marked, plain)
+		said := ""
+		for _, try := range []string{"GET fleet", "POST fleet", "GET nothing", "POST nothing", "GET ready", "POST ready", "POST engines/s-9/offline"} {
+			method, path, _ := strings.Cut(try, " ")
+			status, body := call(door, method, path)
+			if path == "fleet" && !c.on && status != 404 {
+				t.Errorf("%q: %s: status %d", c.file, try, status)
+			}
+			if path == "fleet" && method == "GET" && c.on && status != 200 {
+				t.Errorf("turned on, %s: status %d", try, status)
+			}
+			said += fmt.Sprintf("%s: %d %s\n", try, status, body)
 		}
-		status, body := call(door, "GET", "fleet")
-		if (status == 200) != c.on || status != 200 && status != 404 {
-			t.Errorf("%q: GET /control/fleet: status %d, %s", c.file, status, body)
+		client := f.dial()
+		for k := range 3 {
+			status, h, a := client.do(post("lookup", id(k), "", "SELECT 1"))
+			h.Del("Date")
+			said += fmt.Sprintln(status, h, a)
 		}
-		if counters := p.Stop(); (counters["group"] != nil) != c.on {
+		answers = append(answers, said)
+		counters := p.Stop()
+		if (counters["group"] != nil) != c.on {
 			t.Errorf("%q: counters %v", c.file, counters["group"])
 		}
+		count := counters["node"].(map[string]any)
+		if _, named := count["Foreign"]; named {
+			t.Errorf("%q: the counters name what nobody sent: %v", c.file, count)
+		}
+		peer.SetReadDeadline(time.Now().Add(200 * time.Millisecond)) // what came before the end waits in the socket
+		for take() {
+		}
+		if (marked > 0) != c.on || float64(plain) != count["Told"] {
+			t.Errorf("%q: %d datagrams of the view beside %d of the decisions, which told %v", c.file, marked, plain, count["Told"])
+		}
+	}
+	if answers[0] != answers[1] {
+		t.Errorf("answers without a file:\n%s\nwith the one that is shipped:\n%s", answers[0], answers[1])
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,7 +52,9 @@
 	link  *peer.Link
 	group *group.Group // nil: front ends keep nothing together
 	count struct {
-		Notices, BoardTroubles, Told, Heard, Strange, Foreign, Reloads, BadReloads, EmptyLists int
+		Notices, BoardTroubles, Told, Heard, Strange, Reloads, BadReloads, EmptyLists int
+
+		Foreign int `json:",omitempty"` // datagrams of a kind that is not taken here
 	}
 	desk     *desk
 	leaving  bool
