Operators' words are the fleet's: replicated, acknowledged, caught up before serving

Change: internal/replica, a pure copy of operators' words with causes kept by author, union merges, OUT over words that did not know one another, pushes with acknowledgements, a tree of digests; internal/group/shared.go joins it to link, disk and view; a front end takes no engines in before it has caught up; GET /control/state; [replica] in group.toml.

A last word by the clock, and a build that does not catch up, are found by the same checks.

--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -24,8 +24,17 @@
 	ByHand(engine string, out bool) error // takes an engine out or puts it back
 	InService(on bool) error              // empties the front end, or lets it work again
 	Fleet() []byte                        // the view of the fleet, as JSON; nil: none is kept
+	State() []byte                        // the replicated state, as JSON; nil: none is
 }
 
+// No is an answer that says more than that the call was not carried out.
+type No struct {
+	Status int
+	Body   []byte // JSON
+}
+
+func (n *No) Error() string { return string(n.Body) }
+
 const (
 	mostHead  = 8 << 10
 	mostBody  = 64 << 10        // that is skipped: no call needs one
@@ -161,7 +170,7 @@
 		do = func() error { return d.desk.ByHand(id, word == "offline") }
 	}
 	switch name {
-	case "ready", "counters", "fleet":
+	case "ready", "counters", "fleet", "state":
 		want = "GET"
 	case "out-of-service", "in-service":
 		do = func() error { return d.desk.InService(name == "in-service") }
@@ -171,24 +180,31 @@
 		}
 	}
 	var view []byte
-	if name == "fleet" {
-		if view = d.desk.Fleet(); view == nil {
-			return 404, nil // as for any name that is not known
-		}
+	switch name {
+	case "fleet":
+		view = d.desk.Fleet()
+	case "state":
+		view = d.desk.State()
+	}
+	if view == nil && (name == "fleet" || name == "state") {
+		return 404, nil // as for any name that is not known
 	}
 	switch {
 	case method != want:
 		return 405, nil
 	case name == "counters":
 		return 200, d.desk.Counters()
-	case name == "fleet":
+	case view != nil:
 		return 200, view
 	case name == "ready" && d.desk.Ready():
 		return 200, nil
 	case name == "ready":
 		return 503, nil
 	}
-	if do() != nil {
+	err := do()
+	if no := (*No)(nil); errors.As(err, &no) {
+		return no.Status, no.Body
+	} else if err != nil {
 		return 404, nil
 	}
 	return 200, nil
--- a/internal/faultrig/fleet_test.go
+++ b/internal/faultrig/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"strings"
 	"syscall"
@@ -146,3 +147,24 @@
 		t.Errorf("with another's folder: %s", p.Log())
 	}
 }
+
+// BenchmarkRequest is the processor time of a request in a fleet of 16, with the
+// view off and on.
+func BenchmarkRequest(b *testing.B) {
+	for _, group := range []string{"on = false\n", "on = true\n"} {
+		b.Run(strings.Fields(group)[2], func(b *testing.B) {
+			r := Start(b, Options{Seed: 5, Size: 16, Engines: 4, Group: group})
+			f := r.Fronts[0]
+			time.Sleep(3 * time.Second) // its start is no request
+			from, n := f.prog.CPU(), 0
+			for b.Loop() {
+				r.ask(f, fmt.Sprintf("%016x", n+1), "lookup")
+				n++
+			}
+			b.ReportMetric(float64((f.prog.CPU()-from).Microseconds())/float64(n), "cpu-µs/request")
+			for _, f := range r.Fronts {
+				r.Signal(f, syscall.SIGKILL)
+			}
+		})
+	}
+}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -18,6 +18,7 @@
 type Host interface {
 	Now() float64
 	After(ms float64, f func())
+	Post(f func()) // from any other goroutine
 	Logf(format string, args ...any)
 }
 
@@ -29,7 +30,8 @@
 // Memory lasts over restarts (internal/keep).
 type Memory interface {
 	Get(key string) ([]byte, error)
-	PutSoon(key string, v []byte)
+	All(prefix string) (map[string][]byte, error)
+	PutSoon(key string, v []byte, then func())
 }
 
 // Who is this front end.
@@ -58,8 +60,9 @@
 	armed  float64      // when the loop wakes the view; 0: not at all
 	left   bool
 	logged int
-	memory Memory // nil: none
-	kept   uint32 // incarnation that it was given last
+	memory Memory  // nil: none
+	kept   uint32  // incarnation that it was given last
+	shared *shared // of the replicated state; nil: off
 
 	Count struct {
 		Sent, Received, Foreign, Spoilt, OtherVersion, SendErrors int
@@ -89,7 +92,11 @@
 		g.damp = member.NewDamper(n)
 		host.After(lookEvery, g.look)
 	}
+	if o.Replica.On {
+		g.shared = newShared(g, o)
+	}
 	g.apply(member.Start{})
+	g.shared.start()
 	return g
 }
 
@@ -107,6 +114,9 @@
 // apply gives the view an event and carries out its effects.
 func (g *Group) apply(ev member.Event) {
 	out := g.view.Apply(g.host.Now(), ev)
+	if len(out.Changes) > 0 {
+		defer g.shared.members()
+	}
 	for _, c := range out.Changes {
 		if g.logged++; g.logged <= mostLogged {
 			g.host.Logf("fleet: %s %s is %v at incarnation %d (was %v)", c.Name, c.Addr, c.State, c.Incarnation, c.Was)
@@ -114,7 +124,7 @@
 	}
 	if inc := g.view.Incarnation(); g.memory != nil && inc != g.kept {
 		g.kept = inc
-		g.memory.PutSoon(incarnation, binary.AppendUvarint(nil, uint64(inc)))
+		g.memory.PutSoon(incarnation, binary.AppendUvarint(nil, uint64(inc)), nil)
 	}
 	for _, s := range out.Sends {
 		g.Send(peer.Fleet, s.Num, s.To, s.Msg)
@@ -162,6 +172,8 @@
 		if !g.left {
 			g.apply(member.Heard{Num: num, From: from, Msg: body})
 		}
+	case kind == peer.Replica && g.shared != nil:
+		g.shared.heard(num, from, body)
 	default:
 		g.Count.Foreign++
 	}
--- a/internal/group/guard.go
+++ b/internal/group/guard.go
@@ -1,7 +1,10 @@
-//go:build !unguarded_view
+//go:build !unguarded_view && !unguarded_replica
 
 package group
 
 // unguarded leaves the view's refutation out, to show that the checks of the
 // fault rig find it missing. No build that serves has it set.
 const unguarded = false
+
+// hasty leaves out that a front end catches up before it serves.
+const hasty = false
--- /dev/null
+++ b/internal/group/guard_hasty.go
@@ -0,0 +1,7 @@
+//go:build unguarded_replica
+
+package group
+
+const unguarded = false
+
+const hasty = true
--- a/internal/group/guard_off.go
+++ b/internal/group/guard_off.go
@@ -3,3 +3,5 @@
 package group
 
 const unguarded = true
+
+const hasty = false
--- a/internal/group/options.go
+++ b/internal/group/options.go
@@ -14,6 +14,7 @@
 
 	"dewhill/internal/member"
 	"dewhill/internal/peer"
+	"dewhill/internal/replica"
 )
 
 // Options are the operators' settings, from the TOML file of -group.
@@ -32,13 +33,32 @@
 	ForgetMs     float64 `toml:"forget_ms"`
 	Rate         float64 `toml:"datagrams_per_second"`
 
+	Replica ReplicaOptions `toml:"replica"`
+
 	seeds []netip.AddrPort
 }
 
+// ReplicaOptions are those of the replicated state (internal/replica).
+type ReplicaOptions struct {
+	On        bool    `toml:"on"`
+	Keep      string  `toml:"keep"` // "here" or "majority": who must hold a word before it is acknowledged
+	AgainMs   float64 `toml:"again_ms"`
+	AnswerMs  float64 `toml:"answer_ms"`
+	CompareMs float64 `toml:"compare_ms"`
+	CatchUpMs float64 `toml:"catch_up_ms"`
+	Bytes     float64 `toml:"bytes_per_second"`
+}
+
+// Times are the protocol's times and budget.
+func (o *ReplicaOptions) Times() replica.Times {
+	return replica.Times{Again: o.AgainMs, Answer: o.AnswerMs, Compare: o.CompareMs, CatchUp: o.CatchUpMs, Bytes: o.Bytes}
+}
+
 // Defaults are the options without a file: off.
 func Defaults() Options {
-	t := member.Defaults()
-	return Options{Datagram: peer.MostMessage, PeriodMs: t.Period, RetryMs: t.Retry, SuspectMinMs: t.SuspectMin,
+	t, r := member.Defaults(), replica.Defaults()
+	return Options{Replica: ReplicaOptions{Keep: "majority", AgainMs: r.Again, AnswerMs: r.Answer, CompareMs: r.Compare, CatchUpMs: r.CatchUp,
+		Bytes: r.Bytes}, Datagram: peer.MostMessage, PeriodMs: t.Period, RetryMs: t.Retry, SuspectMinMs: t.SuspectMin,
 		SuspectMaxMs: t.SuspectMax, ReconnectMs: t.Reconnect, ForgetMs: t.Forget, Rate: t.Rate}
 }
 
@@ -91,7 +111,7 @@
 		case at && c != ' ' && c != '\t':
 			at = false
 			rest := string(data[i:min(len(data), i+len(key)+1)])
-			if len(rest) > len(key) && rest[:len(key)] == key && (rest[len(key)] == ' ' || rest[len(key)] == '=' || rest[len(key)] == '\t') {
+			if len(rest) > len(key) && rest[:len(key)] == key && (key[0] == '[' || rest[len(key)] == ' ' || rest[len(key)] == '=' || rest[len(key)] == '\t') {
 				return line
 			}
 		}
@@ -115,11 +135,23 @@
 		{"reconnect_ms", o.ReconnectMs, o.PeriodMs, 600_000},
 		{"forget_ms", o.ForgetMs, 10 * o.PeriodMs, 7 * 86_400_000},
 		{"datagrams_per_second", o.Rate, 2500 / o.PeriodMs, 1000},
+		{"again_ms", o.Replica.AgainMs, 20, 5000},
+		{"answer_ms", o.Replica.AnswerMs, 2 * o.Replica.AgainMs, 60_000},
+		{"compare_ms", o.Replica.CompareMs, 100, 600_000},
+		{"catch_up_ms", o.Replica.CatchUpMs, 500, 600_000},
+		{"bytes_per_second", o.Replica.Bytes, 1024, 100 << 20},
 	} {
 		if !(r.v >= r.least && r.v <= r.most) {
 			return r.key, fmt.Errorf("is %v, wants %v to %v", r.v, r.least, r.most)
 		}
 	}
+	if r := &o.Replica; r.Keep != "here" && r.Keep != "majority" {
+		return "keep", fmt.Errorf("is %q, wants \"here\" or \"majority\"", r.Keep)
+	} else if r.On && !o.On {
+		return "[replica]", errors.New("is on, which wants the view: on = true")
+	} else if r.On && o.Datagram < peer.MostMessage {
+		return "datagram", fmt.Errorf("is %d, the replicated state wants %d at least", o.Datagram, peer.MostMessage)
+	}
 	if o.StateDir != "" {
 		if s, err := os.Stat(o.StateDir); err != nil {
 			return "state_dir", err
--- a/internal/keep/keep.go
+++ b/internal/keep/keep.go
@@ -24,6 +24,7 @@
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -58,6 +59,7 @@
 
 	mu      sync.Mutex // of what is below
 	waiting map[string][]byte
+	then    []func() // of those that wait
 	writing bool
 	told    func(string)
 }
@@ -260,13 +262,35 @@
 	return h.Sum64()
 }
 
+// All returns the values whose keys begin with a prefix, by the rest of the key.
+func (f *Folder) All(prefix string) (all map[string][]byte, err error) {
+	all = map[string][]byte{}
+	err = f.with(func(db *bbolt.DB) error {
+		return db.View(func(tx *bbolt.Tx) error {
+			c := tx.Bucket(state).Cursor()
+			for k, v := c.Seek([]byte(prefix)); strings.HasPrefix(string(k), prefix); k, v = c.Next() {
+				got, ok := open(v)
+				if !ok {
+					return errSpoilt
+				}
+				all[string(k[len(prefix):])] = append([]byte{}, got...)
+			}
+			return nil
+		})
+	})
+	return all, err
+}
+
 // PutSoon keeps a value in the background: the loop doesn't wait for a disk.
 // Where values come faster than the disk takes them, later ones take the place
-// of those that wait.
-func (f *Folder) PutSoon(key string, v []byte) {
+// of those that wait. then, which may be nil, is called in the background once the
+// value, or a later one, is on the disk; not at all if it can't be kept.
+func (f *Folder) PutSoon(key string, v []byte, then func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.waiting[key] = v
+	if f.waiting[key] = v; then != nil {
+		f.then = append(f.then, then)
+	}
 	if !f.writing {
 		f.writing = true
 		go f.drain()
@@ -276,15 +300,21 @@
 func (f *Folder) drain() {
 	for {
 		f.mu.Lock()
-		all := f.waiting
-		f.waiting = map[string][]byte{}
+		all, then := f.waiting, f.then
+		f.waiting, f.then = map[string][]byte{}, nil
 		if f.writing = len(all) > 0; !f.writing {
 			f.mu.Unlock()
 			return
 		}
 		f.mu.Unlock()
-		if err := f.put(all); err != nil && f.told != nil {
-			f.told(err.Error())
+		if err := f.put(all); err != nil {
+			if f.told != nil {
+				f.told(err.Error())
+			}
+			continue
+		}
+		for _, do := range then {
+			do()
 		}
 	}
 }
--- a/internal/membersim/sim.go
+++ b/internal/membersim/sim.go
@@ -27,6 +27,7 @@
 	NoRefuting, NoLastWord, NoPauses bool                                        // guards left out
 	Seeds                            int                                         // above 0: no lists; so many members are known to all
 	Together                         bool                                        // all start at once, else within a second
+	Late                             func(to int) float64                        // ms by which some take datagrams in late, at the most
 	Check                            func(s *Sim, observer int, c member.Change) // sees every change
 }
 
@@ -224,6 +225,9 @@
 			continue
 		}
 		late := s.O.Least + (s.O.Most-s.O.Least)*s.Rng.Float64()
+		if s.O.Late != nil {
+			late += s.O.Late(to) * s.Rng.Float64()
+		}
 		if len(s.O.Faults.Faults) == 0 {
 			s.push(event{at: s.Now + late, to: to, from: i, msg: d.Msg})
 			continue
--- a/internal/node/desk.go
+++ b/internal/node/desk.go
@@ -12,12 +12,15 @@
 
 	"dewhill/internal/core"
 	"dewhill/internal/door"
+	"dewhill/internal/group"
+	"dewhill/internal/replica"
 )
 
 const (
 	lookEvery = 100 * time.Millisecond // at what another process of this front end has changed
 	mostEver  = 16384                  // engines known to have been listed
 	doorShare = 16                     // one descriptor in so many is for operators' calls
+	speakIn   = 90 * time.Second       // beyond every time that the settings allow for a word's answer
 )
 
 // desk is the operators' side of a platform front end: engines taken out by
@@ -46,7 +49,9 @@
 	if err != nil {
 		n.loop.Logf("engines out by hand can't be read: %v", err)
 	}
-	d.apply(left)
+	if !d.replicated() { // else the fleet knows better
+		d.apply(left)
+	}
 	d.listen, err = listen(n.cfg.Door, false)
 	return d, err
 }
@@ -69,7 +74,7 @@
 		if !d.shelf.changed(&d.seen) {
 			continue
 		}
-		if s, err := d.shelf.read(); err == nil {
+		if s, err := d.shelf.read(); err == nil && !d.replicated() {
 			d.n.loop.ask(func() { d.apply(s) })
 		}
 	}
@@ -93,17 +98,79 @@
 	d.turn = s.Turn
 	for id := range d.out {
 		if !slices.Contains(s.Out, id) {
-			delete(d.out, id)
-			d.n.loop.Logf("engine %s put back by hand", id)
-			d.n.loop.apply(core.ByHand{Engine: id})
+			d.hold(id, false)
 		}
 	}
 	for _, id := range s.Out {
-		if !d.out[id] {
-			d.out[id] = true
-			d.n.loop.Logf("engine %s taken out by hand", id)
-			d.n.loop.apply(core.ByHand{Engine: id, Out: true})
+		d.hold(id, true)
+	}
+}
+
+// hold has the decisions know that an engine is out by hand, or in again.
+func (d *desk) hold(id string, out bool) {
+	switch {
+	case out == d.out[id]:
+		return
+	case out:
+		d.out[id] = true
+		d.n.loop.Logf("engine %s taken out by hand", id)
+	default:
+		delete(d.out, id)
+		d.n.loop.Logf("engine %s put back by hand", id)
+	}
+	d.n.loop.apply(core.ByHand{Engine: id, Out: out})
+}
+
+// replicated reports whether operators' words are the whole fleet's.
+func (d *desk) replicated() bool { return d.n.cfg.Group.On && d.n.cfg.Group.Replica.On }
+
+// Held takes over what the fleet was told of a machine.
+func (d *desk) Held(k replica.Key, out bool, _ string) {
+	switch {
+	case k.Kind == replica.Engine:
+		d.hold(k.ID, out)
+	case k.Kind == replica.FrontEnd && k.ID == d.n.cfg.Name && d.emptied != out:
+		d.emptied = out
+		d.n.loop.Logf("in service: %v", !out)
+		d.away()
+	}
+}
+
+// CaughtUp lets this front end work: it knows which engines it must not use.
+func (d *desk) CaughtUp() {
+	d.n.begin()
+	d.away()
+}
+
+// away sends clients away where they are to go elsewhere.
+func (d *desk) away() { d.n.front.Away(d.emptied || d.next || !d.caughtUp()) }
+
+func (d *desk) caughtUp() bool { return d.n.group == nil || d.n.group.Ready() }
+
+// speak gives an operator's word to the fleet and waits until as many hold it as
+// the settings ask.
+func (d *desk) speak(k replica.Key, out bool) error {
+	answer := make(chan group.Answer, 1)
+	var err error
+	d.n.loop.ask(func() {
+		if d.n.group == nil || d.n.leaving {
+			err = errors.New("not taken any more")
+			return
+		}
+		err = d.n.group.Speak(k, out, answer)
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case a := <-answer:
+		if !a.OK {
+			b, _ := json.Marshal(a)
+			return &door.No{Status: 503, Body: b}
 		}
+		return nil
+	case <-time.After(speakIn):
+		return errors.New("the front end ends")
 	}
 }
 
@@ -123,6 +190,9 @@
 	if !known {
 		return errors.New("never listed")
 	}
+	if d.replicated() {
+		return d.speak(replica.Key{Kind: replica.Engine, ID: engine}, out)
+	}
 	s, err := d.shelf.change(func(s *shelved) {
 		s.Out = slices.DeleteFunc(s.Out, func(id string) bool { return id == engine })
 		if out {
@@ -139,24 +209,27 @@
 
 // InService empties the front end, or lets it work again.
 func (d *desk) InService(on bool) error {
+	if d.replicated() {
+		return d.speak(replica.Key{Kind: replica.FrontEnd, ID: d.n.cfg.Name}, !on)
+	}
 	d.n.loop.ask(func() {
 		d.emptied = !on
 		d.n.loop.Logf("in service: %v", on)
-		d.n.front.Away(d.emptied || d.next)
+		d.away()
 	})
 	return nil
 }
 
 // Ready reports whether this process takes clients.
 func (d *desk) Ready() (yes bool) {
-	d.n.loop.ask(func() { yes = !d.emptied && !d.next && !d.n.leaving })
+	d.n.loop.ask(func() { yes = !d.emptied && !d.next && !d.n.leaving && d.caughtUp() })
 	return yes
 }
 
 // leave hands over to the next process.
 func (d *desk) leave() {
 	d.next = true
-	d.n.front.Away(true)
+	d.away()
 }
 
 // Fleet is the view of the fleet, where one is kept.
@@ -169,6 +242,16 @@
 	return b
 }
 
+// State is the replicated state, where one is kept.
+func (d *desk) State() (b []byte) {
+	d.n.loop.ask(func() {
+		if d.n.group != nil {
+			b = d.n.group.State()
+		}
+	})
+	return b
+}
+
 // calls are the answers to a class's requests.
 type calls struct {
 	Success int `json:"success"`
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,6 +59,7 @@
 	}
 	desk     *desk
 	leaving  bool
+	begun    bool // engines are taken in
 	drains   int
 	rev      int64  // of the last event that was applied
 	board    string // that is followed
@@ -216,8 +217,12 @@
 			n.loop.Post(func() { n.heard(num, from, msg) })
 		}, func() { n.loop.Post(func() { n.count.Strange++ }) })
 	}
-	n.notices(&cfg.Known)
-	n.follow(cfg.Board)
+	if n.group != nil && n.group.Replicates() {
+		n.front.Away(true) // until this front end has caught up: see desk.CaughtUp
+		n.group.Serve(n.desk)
+	} else {
+		n.begin()
+	}
 	return &service{loop: n.loop, listen: l, accept: n.front.Serve, take: n.front.Take, leave: n.leave, idle: n.front.Idle,
 		started: n.desk.open, next: n.desk.replaced,
 		reload: func() {
@@ -226,6 +231,14 @@
 		}}, nil
 }
 
+// begin takes in the engines that are known, and follows the notice board: from
+// then on requests are sent.
+func (n *Node) begin() {
+	n.begun = true
+	n.notices(&n.cfg.Known)
+	n.follow(n.cfg.Board)
+}
+
 // join starts this front end's part in what the fleet keeps together, if that
 // is on.
 func (n *Node) join(self int) error {
@@ -309,6 +322,10 @@
 		return
 	}
 	n.count.Reloads++
+	if !n.begun {
+		n.cfg.Board, n.cfg.Known = cfg.Board, cfg.Known
+		return
+	}
 	n.loop.Logf("configuration read again: notice board at %s, after event %d", cfg.Board, n.rev)
 	n.notices(&cfg.Known)
 	n.follow(cfg.Board)
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,689 @@
+package replica
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+)
+
+// Times are the protocol's times in ms, and its budget.
+type Times struct {
+	Again   float64 // until a word is sent again to whoever has not acknowledged it
+	Answer  float64 // until a word that too few have acknowledged is answered with "no"
+	Compare float64 // between comparisons with others
+	CatchUp float64 // after which one that finds nobody to catch up with goes on
+	Bytes   float64 // a second, on average
+}
+
+// Defaults are the times for links of up to some hundred ms.
+func Defaults() Times {
+	return Times{Again: 200, Answer: 2000, Compare: 4000, CatchUp: 5000, Bytes: 8192}
+}
+
+const (
+	burst     = 4       // seconds' worth of bytes that may be sent at once
+	pausedBy  = 500.0   // ms by which a wake-up is late when this process stood still
+	hurry     = 150.0   // ms between comparisons of one that has to catch up
+	soon      = 250.0   // ms until what was found to differ is compared again
+	spreadTo  = 2       // members that are told a word that was learned
+	catchFrom = 2       // members that have caught up, whose copy must be equal
+	few       = 10      // machines of a range that are listed rather than divided further
+	mostItems = 18      // listed in a datagram
+	mostWant  = 26      // asked for in one
+	pushFor   = 600_000 // ms for which a word is sent to those that don't acknowledge it
+	tellHead  = 4       // bytes of such a message before its words
+	slowAfter = 2000.0  // ms from which on it is sent half as often
+)
+
+// Peer is another front end: a number of the list, or below 0 an address.
+type Peer struct {
+	Num  int
+	Addr netip.AddrPort
+}
+
+// Options say who this front end is.
+type Options struct {
+	Name     string
+	Author   uint64 // of this process, drawn anew for each
+	Datagram int    // bytes of a message at most
+	Times    Times
+	Lasting  bool              // what changes is written to a disk, which Kept answers
+	Known    map[string][]byte // from the disk, as Keep gave it
+
+	// LastWins leaves out that concurrent words are told apart, and NoCatchUp that
+	// one that comes again asks first, to show that checks find them missing.
+	LastWins, NoCatchUp bool
+}
+
+// Event is something that happened.
+type Event interface{ event() }
+
+// The events.
+type (
+	// Start begins: it comes first.
+	Start struct{}
+	// Woke tells that the time asked for by Next has come.
+	Woke struct{}
+	// Heard is a message.
+	Heard struct {
+		From Peer
+		Msg  []byte
+	}
+	// Members tells who is held alive, and who all are, without this front end,
+	// and how many make up the fleet with it.
+	Members struct {
+		Alive, All []Peer
+		Size       int
+	}
+	// Speak is an operator's word. Need is how many are to hold it; the answer
+	// comes as Done with the ticket. Wall is the time in Unix ms.
+	Speak struct {
+		Key    Key
+		Out    bool
+		Need   int
+		Wall   float64
+		Ticket uint64
+	}
+	// Kept tells that what Keep asked for under a token is on the disk.
+	Kept struct{ Token uint64 }
+)
+
+func (Start) event()   {}
+func (Woke) event()    {}
+func (Heard) event()   {}
+func (Members) event() {}
+func (Speak) event()   {}
+func (Kept) event()    {}
+
+// Send is a message to send.
+type Send struct {
+	To  Peer
+	Msg []byte
+}
+
+// Changed tells what holds of a machine from now on.
+type Changed struct {
+	Key Key
+	Out bool
+	By  string
+}
+
+// Keep asks for a machine's words to be written to the disk.
+type Keep struct {
+	Token uint64
+	Name  string
+	Words []byte
+}
+
+// Done answers Speak: how many hold the word, and whether they are enough.
+type Done struct {
+	Ticket uint64
+	Have   int
+	OK     bool
+}
+
+// Effects are what an event brings. They are valid until the next event.
+type Effects struct {
+	Sends   []Send
+	Changed []Changed
+	Keeps   []Keep
+	Done    []Done
+}
+
+// Counters count since the start.
+type Counters struct {
+	Spoken, Learned, Refused                       int
+	Sent, BytesSent, Received, BytesReceived       int
+	Compared, Same, Differed, Again, Spoilt, Woken int
+	CaughtUp, GaveUpCatchingUp                     int
+}
+
+// push is a word of this front end's doors on its way to the others.
+type push struct {
+	key    Key
+	word   *Word
+	seq    uint32
+	since  float64
+	next   float64
+	acked  map[Peer]bool
+	self   bool // on the own disk, where there is one
+	need   int
+	ticket uint64
+	open   bool // somebody waits for an answer
+}
+
+// Replica is one front end's copy.
+type Replica struct {
+	o     Options
+	rng   *rand.Rand
+	now   float64
+	next  float64
+	begun float64
+	tree  *tree
+	last  uint64 // largest number of a word
+
+	alive, all []Peer
+	size       int
+
+	pushes  []*push
+	seq     uint32
+	token   uint64
+	keeping map[uint64][]func() // what waits for the disk
+
+	ready   bool
+	agreed  map[Peer]bool // members whose digest is this one's; true: they have caught up
+	compare float64
+	with    []Peer // to compare with first
+	tokens  float64
+	refill  float64
+	started bool
+	telling []byte // words gathered for a message
+	out     Effects
+	Counter Counters
+}
+
+// New returns the copy of a front end that has just started.
+func New(o Options, seed uint64) *Replica {
+	if o.Times == (Times{}) {
+		o.Times = Defaults()
+	}
+	if o.Datagram == 0 {
+		o.Datagram = 250
+	}
+	if len(o.Name) > MostBy {
+		o.Name = o.Name[:MostBy]
+	}
+	r := &Replica{o: o, rng: rand.New(rand.NewPCG(seed, 0x7265706c)), tree: newTree(), next: math.Inf(1), size: 1,
+		keeping: map[uint64][]func(){}, agreed: map[Peer]bool{}, tokens: burst * o.Times.Bytes, compare: math.Inf(1)}
+	r.seq = r.rng.Uint32() >> 8 // an ack to the process before must not pass for one to this
+	return r
+}
+
+// Apply takes an event in.
+func (r *Replica) Apply(now float64, ev Event) *Effects {
+	r.out = Effects{Sends: r.out.Sends[:0], Changed: r.out.Changed[:0], Keeps: r.out.Keeps[:0], Done: r.out.Done[:0]}
+	now = max(now, r.now)
+	if r.started && now-r.next > pausedBy {
+		// Stood still, and believes what held then: others are asked at once.
+		r.Counter.Woken++
+		r.compare = now
+	}
+	r.tokens, r.refill = min(burst*r.o.Times.Bytes, r.tokens+(now-r.refill)*r.o.Times.Bytes/1000), now
+	r.now = now
+	switch ev := ev.(type) {
+	case Start:
+		r.start()
+	case Heard:
+		r.take(ev)
+	case Members:
+		r.members(ev)
+	case Speak:
+		r.speak(ev)
+	case Kept:
+		for _, f := range r.keeping[ev.Token] {
+			f()
+		}
+		delete(r.keeping, ev.Token)
+	}
+	if r.started {
+		r.work()
+	}
+	return &r.out
+}
+
+// Next is when Woke is due.
+func (r *Replica) Next() float64 { return r.next }
+
+func (r *Replica) start() {
+	r.started, r.begun, r.compare = true, r.now, r.now
+	var names []string
+	for name := range r.o.Known {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		list, err := decodeWords(r.o.Known[name])
+		if err != nil {
+			r.Counter.Spoilt++ // the others have it
+			continue
+		}
+		for _, e := range list {
+			r.last = max(r.last, e.word.At)
+			r.tree.add(e.key, e.word)
+			r.changed(e.key)
+		}
+	}
+	r.ready = r.o.NoCatchUp
+}
+
+// members takes in who is there. One that is alive again is compared with first:
+// what was said while it could not be reached is missing on one side.
+func (r *Replica) members(ev Members) {
+	for _, p := range ev.Alive {
+		if !slices.Contains(r.alive, p) && !slices.Contains(r.with, p) {
+			r.with = append(r.with, p)
+			r.compare = min(r.compare, r.now+soon*r.rng.Float64())
+		}
+	}
+	r.alive, r.all, r.size = slices.Clone(ev.Alive), slices.Clone(ev.All), ev.Size
+}
+
+// speak takes in an operator's word and sends it to all. The same word again is
+// no new one, but it is asked anew who holds it.
+func (r *Replica) speak(ev Speak) {
+	reg := r.tree.get(ev.Key)
+	w, lost := reg.last(r.o.LastWins)
+	if w == nil || w.Out != ev.Out || len(lost) > 0 || len(reg.words) > 1 {
+		r.last = max(r.last+1, uint64(ev.Wall)<<16)
+		w = reg.next(r.o.Author, r.last, ev.Out, r.o.Name)
+		r.tree.add(ev.Key, w)
+		r.agreed = map[Peer]bool{}
+		r.Counter.Spoken++
+		r.changed(ev.Key)
+	}
+	r.pushes = slices.DeleteFunc(r.pushes, func(p *push) bool { return p.key == ev.Key && !p.open })
+	r.seq++
+	p := &push{key: ev.Key, word: w, seq: r.seq, since: r.now, next: r.now, acked: map[Peer]bool{}, need: ev.Need, ticket: ev.Ticket, open: true}
+	r.pushes = append(r.pushes, p)
+	r.keep(reg, func() { p.self = true })
+}
+
+// keep writes a machine's words to the disk where there is one, and then goes on.
+func (r *Replica) keep(reg *register, then func()) {
+	if !r.o.Lasting {
+		then()
+		return
+	}
+	r.token++
+	r.keeping[r.token] = append(r.keeping[r.token], then)
+	r.out.Keeps = append(r.out.Keeps, Keep{r.token, fmt.Sprintf("word/%c/%s", reg.key.Kind, reg.key.ID), encodeRegister(reg)})
+}
+
+// changed tells what holds of a machine.
+func (r *Replica) changed(k Key) {
+	if w, _ := r.tree.get(k).last(r.o.LastWins); w != nil {
+		r.out.Changed = append(r.out.Changed, Changed{k, w.Out, w.By})
+	}
+}
+
+// work does what is due.
+func (r *Replica) work() {
+	for _, p := range r.pushes {
+		if p.next <= r.now {
+			r.send(p)
+		}
+		r.settle(p)
+	}
+	r.pushes = slices.DeleteFunc(r.pushes, func(p *push) bool {
+		all := !slices.ContainsFunc(r.all, func(o Peer) bool { return !p.acked[o] })
+		return !p.open && (all && p.self || r.now > p.since+pushFor || !slices.Contains(r.tree.get(p.key).words, p.word))
+	})
+	if !r.ready {
+		r.catchUp()
+	}
+	if r.now >= r.compare {
+		r.compareNow()
+	}
+	r.next = r.compare
+	if !r.ready {
+		r.next = min(r.next, r.begun+r.o.Times.CatchUp)
+	}
+	for _, p := range r.pushes {
+		if r.next = min(r.next, p.next); p.open {
+			r.next = min(r.next, p.since+r.o.Times.Answer)
+		}
+	}
+}
+
+// send sends a word to those that have not acknowledged it, live ones first: the
+// first time to all, then as far as the budget goes.
+func (r *Replica) send(p *push) {
+	first := p.next == p.since
+	gap := r.o.Times.Again
+	if r.now > p.since+slowAfter {
+		gap *= 2
+	}
+	p.next = r.now + gap
+	msg := appendEntry((&message{verb: put, seq: p.seq, ready: r.ready}).append(nil), p.key, p.word)
+	order := slices.DeleteFunc(slices.Concat(r.alive, r.all), func(o Peer) bool { return p.acked[o] })
+	alive := len(order) - len(slices.DeleteFunc(slices.Clone(r.all), func(o Peer) bool { return p.acked[o] }))
+	for _, part := range [][]Peer{order[:alive], order[alive:]} {
+		r.rng.Shuffle(len(part), func(a, b int) { part[a], part[b] = part[b], part[a] })
+	}
+	sent := map[Peer]bool{}
+	for _, o := range order {
+		if sent[o] {
+			continue
+		}
+		if !first {
+			if r.tokens < float64(len(msg)) {
+				return
+			}
+			r.Counter.Again++
+		}
+		sent[o] = true
+		r.emit(o, msg)
+	}
+}
+
+// settle answers the operator once enough hold the word, or after the time.
+func (r *Replica) settle(p *push) {
+	if !p.open {
+		return
+	}
+	have := len(p.acked)
+	if p.self {
+		have++
+	}
+	if have >= p.need || r.now >= p.since+r.o.Times.Answer {
+		p.open = false
+		if have < p.need {
+			r.Counter.Refused++
+		}
+		r.out.Done = append(r.out.Done, Done{p.ticket, have, have >= p.need})
+	}
+}
+
+// catchUp finds whether this copy is as the others are.
+func (r *Replica) catchUp() {
+	upToDate := 0
+	for _, ready := range r.agreed {
+		if ready {
+			upToDate++
+		}
+	}
+	switch {
+	case 2*(len(r.agreed)+1) > r.size, upToDate >= min(catchFrom, max(1, len(r.all))):
+		r.Counter.CaughtUp++
+	case r.now >= r.begun+r.o.Times.CatchUp:
+		r.Counter.GaveUpCatchingUp++
+	default:
+		return
+	}
+	r.ready = true
+}
+
+// compareNow compares with another: who has come back, or one that is drawn.
+func (r *Replica) compareNow() {
+	r.compare = r.now + r.o.Times.Compare*(0.9+0.2*r.rng.Float64())
+	ask := 1
+	if !r.ready {
+		r.compare, ask = r.now+hurry, catchFrom
+	}
+	for range ask {
+		var p Peer
+		switch {
+		case len(r.with) > 0:
+			p = r.with[0]
+			r.with = r.with[1:]
+		case len(r.alive) > 0:
+			p = r.alive[r.rng.IntN(len(r.alive))]
+		default:
+			return
+		}
+		r.Counter.Compared++
+		r.say(p, &message{verb: root, sum: r.Digest()})
+	}
+	if len(r.with) > 0 {
+		r.compare = min(r.compare, r.now+hurry)
+	}
+}
+
+// take takes in a message.
+func (r *Replica) take(ev Heard) {
+	r.Counter.Received++
+	r.Counter.BytesReceived += len(ev.Msg)
+	m, err := decode(ev.Msg)
+	if err != nil {
+		r.Counter.Spoilt++
+		return
+	}
+	if !r.started {
+		return
+	}
+	switch m.verb {
+	case put, tell:
+		r.learn(ev.From, &m)
+	case ack:
+		for _, p := range r.pushes {
+			if p.seq == m.seq {
+				p.acked[ev.From] = true
+			}
+		}
+	case root:
+		if m.sum == r.Digest() {
+			r.agreed[ev.From] = m.ready
+			r.say(ev.From, &message{verb: same, sum: m.sum})
+			return
+		}
+		r.differs(ev.From)
+		r.say(ev.From, &message{verb: sums, sums: r.tree.children(0, 0)})
+	case same:
+		if m.sum == r.Digest() {
+			r.Counter.Same++
+			r.agreed[ev.From] = m.ready
+		}
+	case sums:
+		r.differs(ev.From)
+		r.divide(ev.From, &m)
+	case items:
+		r.list(ev.From, &m)
+	case want:
+		for _, h := range m.want {
+			for _, reg := range r.tree.leaf[at(levels, h)] {
+				if reg.hash == h {
+					r.tell(ev.From, reg)
+				}
+			}
+		}
+		r.flush(ev.From)
+	}
+}
+
+// differs notes that another's copy is not this one, and that they are to be
+// compared again once what differs has been told.
+func (r *Replica) differs(p Peer) {
+	r.Counter.Differed++
+	delete(r.agreed, p)
+	if !slices.Contains(r.with, p) {
+		r.with = append(r.with, p)
+	}
+	r.compare = min(r.compare, r.now+soon)
+}
+
+// divide goes on with the ranges of a range that differ.
+func (r *Replica) divide(p Peer, m *message) {
+	mine := r.tree.children(m.level, m.index)
+	from := r.rng.IntN(fan) // not always the same ones where the budget ends
+	for k := range fan {
+		i := (from + k) % fan
+		if mine[i] == m.sums[i] {
+			continue
+		}
+		if r.tokens < float64(r.o.Datagram) {
+			return
+		}
+		level, child := m.level+1, m.index*fan+i
+		if level < levels && r.tree.n[level][child] > few {
+			r.say(p, &message{verb: sums, level: level, index: child, sums: r.tree.children(level, child)})
+			continue
+		}
+		list := &message{verb: items, level: level, index: child}
+		for _, reg := range r.tree.in(level, child) {
+			if len(reg.words) > 0 {
+				list.items = append(list.items, item{reg.hash, short(reg.sum())})
+			}
+		}
+		if list.part = len(list.items) > mostItems; list.part {
+			r.rng.Shuffle(len(list.items), func(a, b int) { list.items[a], list.items[b] = list.items[b], list.items[a] })
+			list.items = list.items[:mostItems]
+		}
+		r.say(p, list)
+	}
+}
+
+// list answers what another holds in a range: by what it lacks, and by asking for
+// what is lacking here.
+func (r *Replica) list(p Peer, m *message) {
+	theirs := map[uint64]uint32{}
+	for _, i := range m.items {
+		theirs[i.hash] = i.sum
+	}
+	for _, reg := range r.tree.in(m.level, m.index) {
+		sum, has := theirs[reg.hash]
+		if len(reg.words) > 0 && (has && sum != short(reg.sum()) || !has && !m.part) {
+			r.tell(p, reg)
+		}
+		if has && sum == short(reg.sum()) {
+			delete(theirs, reg.hash)
+		}
+	}
+	r.flush(p)
+	lack := &message{verb: want}
+	for _, i := range m.items {
+		if _, yes := theirs[i.hash]; yes && len(lack.want) < mostWant {
+			lack.want = append(lack.want, i.hash)
+		}
+	}
+	if len(lack.want) > 0 {
+		r.say(p, lack)
+	}
+}
+
+// learn merges words in. What is new is passed on to a few: whoever sent it may
+// not reach all.
+func (r *Replica) learn(from Peer, m *message) {
+	var news []*register
+	for _, e := range m.spoken {
+		r.last = max(r.last, e.word.At)
+		reg, changed := r.tree.add(e.key, e.word)
+		if changed {
+			news = append(news, reg)
+		}
+	}
+	answer := func() {
+		if m.verb == put {
+			r.say(from, &message{verb: ack, seq: m.seq})
+		}
+	}
+	if len(news) == 0 {
+		// It is held, or one that knew it. Where that is still being written, the
+		// answer waits too: the disk takes things in their order.
+		if _, writing := r.keeping[r.token]; writing {
+			r.keeping[r.token] = append(r.keeping[r.token], answer)
+		} else {
+			answer()
+		}
+		return
+	}
+	r.agreed = map[Peer]bool{}
+	for i, reg := range news {
+		r.Counter.Learned++
+		r.changed(reg.key)
+		then := func() {}
+		if i == len(news)-1 {
+			then = answer
+		}
+		r.keep(reg, then)
+	}
+	for range spreadTo {
+		if !r.ready || len(r.alive) == 0 || // one that catches up learns what the others know
+			r.tokens < float64(r.o.Datagram) {
+			break
+		}
+		if o := r.alive[r.rng.IntN(len(r.alive))]; o != from {
+			for _, reg := range news {
+				r.tell(o, reg)
+			}
+			r.flush(o)
+		}
+	}
+}
+
+// tell adds a machine's words to the message that flush sends.
+func (r *Replica) tell(p Peer, reg *register) {
+	for _, w := range reg.words {
+		e := appendEntry(nil, reg.key, w)
+		if len(r.telling)+len(e)+tellHead > r.o.Datagram {
+			r.flush(p)
+		}
+		r.telling = append(r.telling, e...)
+	}
+}
+
+// flush sends what tell has gathered, as far as the budget goes: what is left out
+// still differs and is found again.
+func (r *Replica) flush(p Peer) {
+	if len(r.telling) > 0 && r.tokens >= float64(len(r.telling)) {
+		r.emit(p, append((&message{verb: tell, ready: r.ready}).append(nil), r.telling...))
+	}
+	r.telling = r.telling[:0]
+}
+
+func (r *Replica) say(p Peer, m *message) {
+	m.ready = r.ready
+	r.emit(p, m.append(nil))
+}
+
+func (r *Replica) emit(p Peer, msg []byte) {
+	r.tokens = max(0, r.tokens-float64(len(msg)))
+	r.Counter.Sent++
+	r.Counter.BytesSent += len(msg)
+	r.out.Sends = append(r.out.Sends, Send{p, msg})
+}
+
+// Digest is one number for all words that are held.
+func (r *Replica) Digest() uint64 { return r.tree.sums[0][0] }
+
+// Ready reports whether this copy has caught up.
+func (r *Replica) Ready() bool { return r.ready }
+
+// Lag is how many members there are, over all words of this front end's doors,
+// that have not acknowledged them.
+func (r *Replica) Lag() (n int) {
+	for _, p := range r.pushes {
+		for _, o := range r.all {
+			if !p.acked[o] {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Held is what a copy holds of a machine.
+type Held struct {
+	Key  Key
+	Word Word
+	Lost []Word // that differ from it, none of whose authors knew the other
+}
+
+// All is what is held, by machine.
+func (r *Replica) All() (list []Held) {
+	for _, reg := range r.tree.keys() {
+		w, lost := reg.last(r.o.LastWins)
+		if w == nil {
+			continue
+		}
+		h := Held{Key: reg.key, Word: *w}
+		for _, o := range lost {
+			h.Lost = append(h.Lost, *o)
+		}
+		slices.SortFunc(h.Lost, func(a, b Word) int { return cmp.Compare(a.At, b.At) })
+		list = append(list, h)
+	}
+	return list
+}
+
+// IsOut reports whether a machine is out.
+func (r *Replica) IsOut(k Key) bool {
+	reg := r.tree.by[k]
+	if reg == nil {
+		return false
+	}
+	w, _ := reg.last(r.o.LastWins)
+	return w != nil && w.Out
+}
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,153 @@
+package replica
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"dewhill/internal/testprog"
+)
+
+// spoken draws words of one machine as copies speak and hear them.
+func spoken(t *rapid.T) (list []*Word) {
+	regs := make([]register, 3)
+	for range rapid.IntRange(1, 10).Draw(t, "words") {
+		i := rapid.IntRange(0, 2).Draw(t, "speaker")
+		w := regs[i].next(uint64(i+1), uint64(len(list)+1), rapid.Bool().Draw(t, "out"), "n")
+		regs[i].add(w)
+		list = append(list, w)
+		if rapid.Bool().Draw(t, "heard") {
+			to := rapid.IntRange(0, 2).Draw(t, "by")
+			for _, o := range slices.Clone(regs[i].words) {
+				regs[to].add(o)
+			}
+		}
+	}
+	return list
+}
+
+func merged(list ...*Word) (r register) {
+	for _, w := range list {
+		r.add(w)
+	}
+	return r
+}
+
+func (r *register) String() (s string) {
+	for _, w := range r.words {
+		s += fmt.Sprint(w.Dot, w.Out, " ")
+	}
+	return s
+}
+
+// Merging is commutative, associative and idempotent, and OUT holds wherever a
+// word says so that no other one knew.
+func TestMerge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := spoken(t)
+		a, b := merged(list...), merged(append(rapid.Permutation(list).Draw(t, "order"), list...)...)
+		if a.String() != b.String() {
+			t.Fatalf("%v and %v", &a, &b)
+		}
+		cut := rapid.IntRange(0, len(list)).Draw(t, "cut")
+		x, y := merged(list[:cut]...), merged(list[cut:]...)
+		if z := merged(slices.Concat(x.words, y.words)...); z.String() != a.String() {
+			t.Fatalf("%v and %v", &z, &a)
+		}
+		w, lost := a.last(false)
+		for _, o := range lost {
+			if o.Out || !w.Out {
+				t.Fatalf("%+v holds over %+v", w, o)
+			}
+		}
+	})
+}
+
+// A message comes out as it went in, and garbage breaks nothing.
+func TestGarbage(t *testing.T) {
+	w := &Word{Dot: Dot{7, 9 << 16}, Out: true, By: "n3", Knows: []Dot{{4, 5}, {6, 7}}}
+	word := string(appendEntry((&message{verb: put, seq: 5}).append(nil), Key{Engine, "s-1"}, w))
+	m, err := decode([]byte(word))
+	if err != nil || len(m.spoken) != 1 || fmt.Sprint(*m.spoken[0].word) != fmt.Sprint(*w) || m.spoken[0].key.ID != "s-1" || m.seq != 5 {
+		t.Fatalf("%v: %+v", err, m)
+	}
+	list := string((&message{verb: items, level: 3, index: 4095, items: []item{{5, 6}}, part: true}).append(nil))
+	digests := string((&message{verb: sums, level: 1, index: 15, sums: make([]uint32, fan)}).append(nil))
+	first := string((&message{verb: root, sum: 5, ready: true}).append(nil))
+	lack := string((&message{verb: want, want: []uint64{1, 2}}).append(nil))
+	for _, s := range []string{list, digests, first, lack} {
+		if _, err := decode([]byte(s)); err != nil {
+			t.Fatalf("%x: %v", s, err)
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		r := New(Options{Name: "n0", Author: 3, Known: map[string][]byte{"x": testprog.Garbled(t, word)}}, 1)
+		r.Apply(0, Start{})
+		r.Apply(1, Members{Alive: []Peer{{Num: 1}}, All: []Peer{{Num: 1}}, Size: 2})
+		for range 4 {
+			b := testprog.Garbled(t, word, list, digests, first, lack)
+			for _, s := range r.Apply(2, Heard{Peer{Num: 1}, b}).Sends {
+				if len(s.Msg) > 250 {
+					t.Fatalf("%d bytes", len(s.Msg))
+				}
+			}
+		}
+		if n := len(r.tree.by); n > 20 {
+			t.Fatalf("%d machines", n)
+		}
+	})
+}
+
+// A word is answered with "no" and how many hold it where too few do, and is
+// kept all the same; the same word again is no new one. On a disk first.
+func TestAnswers(t *testing.T) {
+	r := New(Options{Name: "n0", Author: 3, Lasting: true}, 1)
+	others := []Peer{{Num: 1}, {Num: 2}, {Num: 3}, {Num: 4}}
+	r.Apply(0, Start{})
+	r.Apply(0, Members{Alive: others[:1], All: others, Size: 5})
+	speak := func(now float64) *Effects {
+		return r.Apply(now, Speak{Key: Key{Engine, "s-1"}, Out: true, Need: 3, Wall: 1e12, Ticket: 8})
+	}
+	out := speak(10)
+	if len(out.Keeps) != 1 || len(out.Sends) < 4 || len(out.Done) != 0 || len(out.Changed) != 1 {
+		t.Fatalf("%+v", out)
+	}
+	seq := r.pushes[0].seq
+	for _, p := range others[:2] {
+		out = r.Apply(20, Heard{p, (&message{verb: ack, seq: seq}).append(nil)})
+	}
+	if len(out.Done) != 0 {
+		t.Error("answered before the word is on the disk")
+	}
+	if out = r.Apply(30, Kept{1}); len(out.Done) != 1 || out.Done[0] != (Done{8, 3, true}) {
+		t.Errorf("%+v", out.Done)
+	}
+	speak(40)
+	if r.Counter.Spoken != 1 {
+		t.Error("the same word again is a new one")
+	}
+	for now := r.Next(); ; now = r.Next() {
+		if out = r.Apply(now, Woke{}); len(out.Done) > 0 {
+			if out.Done[0].OK || !r.IsOut(Key{Engine, "s-1"}) || now > 5000 {
+				t.Errorf("%+v at %.0f", out.Done, now)
+			}
+			break
+		}
+	}
+}
+
+// BenchmarkWord is the cost of a word that comes, is new and is passed on.
+func BenchmarkWord(b *testing.B) {
+	r := New(Options{Name: "n0", Author: 3}, 1)
+	r.Apply(0, Start{})
+	r.Apply(0, Members{Alive: []Peer{{Num: 1}, {Num: 2}}, All: []Peer{{Num: 1}, {Num: 2}}, Size: 3})
+	b.ReportAllocs()
+	n := uint64(0)
+	for b.Loop() {
+		n++
+		msg := appendEntry((&message{verb: put, seq: 5}).append(nil), Key{Engine, fmt.Sprint("s-", n%1000)}, &Word{Dot: Dot{9, n}, By: "n1"})
+		r.Apply(float64(n), Heard{Peer{Num: 1}, msg})
+	}
+}
--- /dev/null
+++ b/internal/replica/word.go
@@ -0,0 +1,157 @@
+package replica
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Kinds of machines.
+const (
+	Engine   = 'e'
+	FrontEnd = 'f'
+)
+
+// Key names a machine.
+type Key struct {
+	Kind byte
+	ID   string
+}
+
+// Dot names a word: its author, which is one process of one front end, and a
+// number that goes up with each of its words.
+type Dot struct {
+	Author uint64
+	At     uint64 // hybrid: ms since 1970 << 16, and a count
+}
+
+// Word is what an operator said of a machine.
+type Word struct {
+	Dot
+	Out   bool
+	By    string // the front end whose door was called
+	Knows []Dot  // the last words that it knew, one for each author
+}
+
+// knew reports whether a word's author knew another word.
+func (w *Word) knew(o *Word) bool {
+	for _, d := range w.Knows {
+		if d.Author == o.Author {
+			return d.At >= o.At
+		}
+	}
+	return w.Author == o.Author && w.At > o.At
+}
+
+// register is what a copy holds of one machine: words of which none knew another.
+type register struct {
+	key   Key
+	hash  uint64
+	words []*Word // by dot
+}
+
+const (
+	mostKnown = 8 // authors that a word carries
+	mostWords = 8 // of one machine that are kept beside one another
+)
+
+func byDot(a, b *Word) int {
+	return cmp.Or(cmp.Compare(a.Author, b.Author), cmp.Compare(a.At, b.At))
+}
+
+// add merges a word in, and reports whether anything changed.
+func (r *register) add(w *Word) bool {
+	i, found := slices.BinarySearchFunc(r.words, w, byDot)
+	if found {
+		return false
+	}
+	for _, o := range r.words {
+		if o.knew(w) {
+			return false
+		}
+	}
+	r.words = slices.Insert(r.words, i, w)
+	r.words = slices.DeleteFunc(r.words, func(o *Word) bool { return o != w && w.knew(o) })
+	if len(r.words) > mostWords { // the same ones in every copy: by meaning, then the earliest
+		worst := slices.MinFunc(r.words, func(a, b *Word) int {
+			return cmp.Or(boolCmp(a.Out, b.Out), cmp.Compare(a.At, b.At), cmp.Compare(a.Author, b.Author))
+		})
+		r.words = slices.DeleteFunc(r.words, func(o *Word) bool { return o == worst })
+		return worst != w
+	}
+	return true
+}
+
+func boolCmp(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// last is the word that holds: of those that differ OUT, of those of one meaning
+// the latest. lost are the words that differ from it.
+func (r *register) last(lastWins bool) (w *Word, lost []*Word) {
+	for _, o := range r.words {
+		better := w == nil || o.Out && !w.Out || o.Out == w.Out && cmp.Or(cmp.Compare(o.At, w.At), cmp.Compare(o.Author, w.Author)) > 0
+		if lastWins { // a guard left out: see Options
+			better = w == nil || o.At > w.At
+		}
+		if better {
+			w = o
+		}
+	}
+	for _, o := range r.words {
+		if o.Out != w.Out {
+			lost = append(lost, o)
+		}
+	}
+	return w, lost
+}
+
+// next is the word that is spoken now, which knows all that are held.
+func (r *register) next(author, at uint64, out bool, by string) *Word {
+	last := map[uint64]uint64{}
+	for _, o := range r.words {
+		last[o.Author] = max(last[o.Author], o.At)
+		for _, d := range o.Knows {
+			last[d.Author] = max(last[d.Author], d.At)
+		}
+	}
+	delete(last, author) // a later number of one's own says that
+	w := &Word{Dot: Dot{author, at}, Out: out, By: by}
+	for a, n := range last {
+		w.Knows = append(w.Knows, Dot{a, n})
+	}
+	slices.SortFunc(w.Knows, func(a, b Dot) int { return cmp.Or(cmp.Compare(b.At, a.At), cmp.Compare(a.Author, b.Author)) })
+	w.Knows = w.Knows[:min(len(w.Knows), mostKnown)]
+	return w
+}
+
+// sum is what a register adds to digests.
+func (r *register) sum() (s uint64) {
+	for _, w := range r.words {
+		s ^= mix(mix(w.Author) + w.At)
+	}
+	if s == 0 {
+		return 0
+	}
+	return mix(r.hash ^ s)
+}
+
+// mix is the finalizer of SplitMix64.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func (k Key) hash() uint64 {
+	h := uint64(14695981039346656037)
+	for _, c := range append([]byte{k.Kind}, k.ID...) {
+		h = (h ^ uint64(c)) * 1099511628211
+	}
+	return mix(h)
+}
--- a/internal/testprog/testprog.go
+++ b/internal/testprog/testprog.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -164,3 +165,17 @@
 	defer l.Close()
 	return l.Addr().String()
 }
+
+// CPU is the processor time that the program has used so far, from /proc; it
+// counts in ticks of 10 ms.
+func (p *Program) CPU() time.Duration {
+	b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	_, rest, _ := strings.Cut(string(b), ") ")
+	w := strings.Fields(rest)
+	if len(w) < 13 {
+		return 0
+	}
+	user, _ := strconv.Atoi(w[11])
+	system, _ := strconv.Atoi(w[12])
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
