--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -447,6 +447,9 @@
 	m := &message{word: w}
 	if w == ack {
 		m.seq = to.seq
+		if to.list == uint32(len(v.o.Peers)) {
+			m.naming = to.lacks
+		}
 	}
 	e.told = v.now
 	differ := to.list == uint32(len(v.o.Peers)) && to.digest != v.Digest()
@@ -630,6 +633,9 @@
 			m.sums[i] = short(s)
 		}
 	}
+	if m.word == ping && !v.storm() { // else there is no room
+		m.lacks = v.nameless()
+	}
 	most := v.o.Datagram
 	b := m.append(make([]byte, 0, most))
 	var list []rumour
@@ -703,6 +709,9 @@
 		}
 	}
 	v.news = slices.DeleteFunc(v.news, func(e *entry) bool { return e.tell == 0 })
+	if m.naming > 0 && !v.storm() {
+		b = v.appendNamesFrom(b, int(m.naming)-1, most)
+	}
 	if len(v.naming) > 0 && v.isLive(num) { // told to nobody, a name would be lost
 		names := make([]naming, 0, len(v.naming))
 		for _, e := range v.naming[:min(fit, len(v.naming))] {
@@ -721,6 +730,35 @@
 	v.out.Sends = append(v.out.Sends, Send{num, to, b})
 }
 
+// nameless is number + 1 of a member that was heard of and has no name yet; 0:
+// there is none. Names travel after states and are told a few times only: one that
+// came late, or lost them, asks.
+func (v *View) nameless() uint32 {
+	n := len(v.o.Peers)
+	if n == 0 {
+		return 0
+	}
+	from := v.rng.IntN(n)
+	for k := range n {
+		if e := v.all[(from+k)%n]; e.Name == "" && e.State != Unknown {
+			return uint32(e.Num) + 1
+		}
+	}
+	return 0
+}
+
+// appendNamesFrom tells the names of numbers from one on, as many as fit.
+func (v *View) appendNamesFrom(b []byte, from, most int) []byte {
+	var names []naming
+	for k := range len(v.o.Peers) {
+		if e := v.all[(from+k)%len(v.o.Peers)]; e.Name != "" && len(names) < most/4 {
+			names = append(names, naming{e.Num, e.Name})
+		}
+	}
+	b, _ = appendNames(b, names, most)
+	return b
+}
+
 const (
 	ageUnit   = 100.0    // ms, of the age that a young process tells
 	youngFor  = 30_000.0 // ms for which it does
--- a/internal/member/wire.go
+++ b/internal/member/wire.go
@@ -1,11 +1,12 @@
 package member
 
 import (
-	"errors"
 	"net/netip"
 	"slices"
 
 	"google.golang.org/protobuf/encoding/protowire"
+
+	"dewhill/internal/pbuf"
 )
 
 // word is what a message is for.
@@ -39,6 +40,7 @@
 //	  bytes names = 12;       // (number, length, name)...
 //	  repeated bytes alike = 16; // members of a range with one incarnation and state: its
 //	                             // number, incarnation * 8 + state, then one bit a member
+//	  uint32 lacks = 17;      // number + 1 of one whose name the sender lacks: wants names from there on
 //	  uint32 age = 15;        // of a young process, in 100 ms and one more
 //	  repeated Named named = 13; // members that are in no list
 //	  repeated bytes whole = 14; // a whole range: its number, an incarnation, then two
@@ -56,12 +58,14 @@
 	sums       []uint16
 	target     uint32
 	age        uint32
+	lacks      uint32
 	targetName string
 	entries    []rumour
 	names      []naming
 	named      []rumour
 	whole      []block
 	blocks     uint16 // ranges to tell whole, when it is written
+	naming     uint32 // number + 1 from which on to tell names, when it is written
 }
 
 // block tells of all members of a range that have one incarnation.
@@ -130,6 +134,7 @@
 	num(9, m.target)
 	text(10, m.targetName)
 	num(15, m.age)
+	num(17, m.lacks)
 	return b
 }
 
@@ -212,7 +217,7 @@
 	return protowire.AppendBytes(protowire.AppendTag(b, field, protowire.BytesType), body), true
 }
 
-var errSpoilt = errors.New("spoilt message")
+var errSpoilt = pbuf.ErrSpoilt
 
 // what splits an incarnation and a state that stand in one number.
 func what(v uint64) (inc uint32, s State, err error) {
@@ -222,43 +227,11 @@
 	return uint32(v >> 3), State(v & 7), nil
 }
 
-// fields calls f with each field of a message. Fields it does not know are the
-// next version's and are passed over.
-func fields(b []byte, f func(n protowire.Number, v uint64, body []byte) error) error {
-	for len(b) > 0 {
-		n, typ, k := protowire.ConsumeTag(b)
-		if k < 0 {
-			return errSpoilt
-		}
-		b = b[k:]
-		var v uint64
-		var body []byte
-		switch typ {
-		case protowire.VarintType:
-			v, k = protowire.ConsumeVarint(b)
-		case protowire.Fixed64Type:
-			v, k = protowire.ConsumeFixed64(b)
-		case protowire.BytesType:
-			body, k = protowire.ConsumeBytes(b)
-		default:
-			k = protowire.ConsumeFieldValue(n, typ, b)
-		}
-		if k < 0 {
-			return errSpoilt
-		}
-		b = b[k:]
-		if err := f(n, v, body); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // decode reads a message.
 func decode(b []byte) (m message, err error) {
-	err = fields(b, func(n protowire.Number, v uint64, body []byte) error {
+	err = pbuf.Fields(b, func(n protowire.Number, v uint64, body []byte) error {
 		small := uint32(v)
-		if uint64(small) != v && n != 7 && (n <= 9 || n == 15) {
+		if uint64(small) != v && n != 7 && (n <= 9 || n == 15 || n == 17) {
 			return errSpoilt
 		}
 		switch n {
@@ -298,6 +271,8 @@
 			return decodeNamed(&m, body)
 		case 15:
 			m.age = small
+		case 17:
+			m.lacks = small
 		case 14:
 			return decodeBlock(&m, body, false)
 		case 16:
@@ -305,7 +280,7 @@
 		}
 		return nil
 	})
-	if err == nil && (m.word == 0 || m.inc == 0 || m.inc > mostInc || len(m.name) > MostName || m.target > mostNum) {
+	if err == nil && (m.word == 0 || m.inc == 0 || m.inc > mostInc || len(m.name) > MostName || m.target > mostNum || m.lacks > mostNum) {
 		err = errSpoilt
 	}
 	return m, err
@@ -376,7 +351,7 @@
 
 func decodeNamed(m *message, b []byte) error {
 	r := rumour{num: -1}
-	err := fields(b, func(n protowire.Number, v uint64, body []byte) (err error) {
+	err := pbuf.Fields(b, func(n protowire.Number, v uint64, body []byte) (err error) {
 		switch n {
 		case 1:
 			r.name = string(body)
--- a/internal/membersim/sim.go
+++ b/internal/membersim/sim.go
@@ -362,3 +362,19 @@
 	}
 	return ""
 }
+
+// Nameless counts, over all live processes, members that they have heard of and
+// don't know the names of.
+func (s *Sim) Nameless() (n int) {
+	for _, v := range s.Views {
+		if v == nil {
+			continue
+		}
+		for _, m := range v.Members() {
+			if m.Name == "" && m.State != member.Unknown {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/membersim/sim_test.go
+++ b/internal/membersim/sim_test.go
@@ -27,11 +27,11 @@
 // settle runs until all views are one and true, for so many ms at most.
 func settle(s *Sim, within float64) (took float64, wrong string) {
 	from := s.Now
-	if at := s.Until(s.Now+within, 100, func() bool { return s.Equal() && s.Wrong() == "" }); at >= 0 {
+	if at := s.Until(s.Now+within, 100, func() bool { return s.Equal() && s.Wrong() == "" && s.Nameless() == 0 }); at >= 0 {
 		return at - from, ""
 	}
 	if wrong = s.Wrong(); wrong == "" {
-		wrong = "digests differ"
+		wrong = fmt.Sprintf("digests differ, or %d names are not known", s.Nameless())
 	}
 	return within, wrong
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -3,10 +3,13 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+
+	"dewhill/internal/digest"
 )
 
 // Times are the protocol's times in ms, and its budget.
@@ -30,9 +33,6 @@
 	soon      = 250.0   // ms until what was found to differ is compared again
 	spreadTo  = 2       // members that are told a word that was learned
 	catchFrom = 2       // members that have caught up, whose copy must be equal
-	few       = 10      // machines of a range that are listed rather than divided further
-	mostItems = 18      // listed in a datagram
-	mostWant  = 26      // asked for in one
 	pushFor   = 600_000 // ms for which a word is sent to those that don't acknowledge it
 	tellHead  = 4       // bytes of such a message before its words
 	slowAfter = 2000.0  // ms from which on it is sent half as often
@@ -162,7 +162,8 @@
 	now   float64
 	next  float64
 	begun float64
-	tree  *tree
+	by    map[Key]*register
+	tree  *digest.Tree[*register]
 	last  uint64 // largest number of a word
 
 	alive, all []Peer
@@ -196,7 +197,7 @@
 	if len(o.Name) > MostBy {
 		o.Name = o.Name[:MostBy]
 	}
-	r := &Replica{o: o, rng: rand.New(rand.NewPCG(seed, 0x7265706c)), tree: newTree(), next: math.Inf(1), size: 1,
+	r := &Replica{o: o, rng: rand.New(rand.NewPCG(seed, 0x7265706c)), by: map[Key]*register{}, tree: digest.New[*register](), next: math.Inf(1), size: 1,
 		keeping: map[uint64][]func(){}, agreed: map[Peer]bool{}, tokens: burst * o.Times.Bytes, compare: math.Inf(1)}
 	r.seq = r.rng.Uint32() >> 8 // an ack to the process before must not pass for one to this
 	return r
@@ -252,7 +253,7 @@
 		}
 		for _, e := range list {
 			r.last = max(r.last, e.word.At)
-			r.tree.add(e.key, e.word)
+			r.merge(e.key, e.word)
 			r.changed(e.key)
 		}
 	}
@@ -274,12 +275,12 @@
 // speak takes in an operator's word and sends it to all. The same word again is
 // no new one, but it is asked anew who holds it.
 func (r *Replica) speak(ev Speak) {
-	reg := r.tree.get(ev.Key)
+	reg := r.get(ev.Key)
 	w, lost := reg.last(r.o.LastWins)
 	if w == nil || w.Out != ev.Out || len(lost) > 0 || len(reg.words) > 1 {
 		r.last = max(r.last+1, uint64(ev.Wall)<<16)
 		w = reg.next(r.o.Author, r.last, ev.Out, r.o.Name)
-		r.tree.add(ev.Key, w)
+		r.merge(ev.Key, w)
 		r.agreed = map[Peer]bool{}
 		r.Counter.Spoken++
 		r.changed(ev.Key)
@@ -304,7 +305,7 @@
 
 // changed tells what holds of a machine.
 func (r *Replica) changed(k Key) {
-	if w, _ := r.tree.get(k).last(r.o.LastWins); w != nil {
+	if w, _ := r.get(k).last(r.o.LastWins); w != nil {
 		r.out.Changed = append(r.out.Changed, Changed{k, w.Out, w.By})
 	}
 }
@@ -319,7 +320,7 @@
 	}
 	r.pushes = slices.DeleteFunc(r.pushes, func(p *push) bool {
 		all := !slices.ContainsFunc(r.all, func(o Peer) bool { return !p.acked[o] })
-		return !p.open && (all && p.self || r.now > p.since+pushFor || !slices.Contains(r.tree.get(p.key).words, p.word))
+		return !p.open && (all && p.self || r.now > p.since+pushFor || !slices.Contains(r.get(p.key).words, p.word))
 	})
 	if !r.ready {
 		r.catchUp()
@@ -460,7 +461,7 @@
 			return
 		}
 		r.differs(ev.From)
-		r.say(ev.From, &message{verb: sums, sums: r.tree.children(0, 0)})
+		r.say(ev.From, &message{verb: sums, part: digest.Part{Sums: r.tree.Sums(digest.Range{})}})
 	case same:
 		if m.sum == r.Digest() {
 			r.Counter.Same++
@@ -468,15 +469,26 @@
 		}
 	case sums:
 		r.differs(ev.From)
-		r.divide(ev.From, &m)
+		r.tree.Divide(m.part.Range, m.part.Sums, r.rng, func() bool { return r.tokens >= float64(r.o.Datagram) }, func(p digest.Part) {
+			how := items
+			if p.Sums != nil {
+				how = sums
+			}
+			r.say(ev.From, &message{verb: how, part: p})
+		})
 	case items:
-		r.list(ev.From, &m)
+		lacks, wanted := r.tree.Compare(m.part)
+		for _, reg := range lacks {
+			r.tell(ev.From, reg)
+		}
+		r.flush(ev.From)
+		if len(wanted) > 0 {
+			r.say(ev.From, &message{verb: want, want: wanted})
+		}
 	case want:
 		for _, h := range m.want {
-			for _, reg := range r.tree.leaf[at(levels, h)] {
-				if reg.hash == h {
-					r.tell(ev.From, reg)
-				}
+			for _, reg := range r.tree.Find(h) {
+				r.tell(ev.From, reg)
 			}
 		}
 		r.flush(ev.From)
@@ -494,63 +506,25 @@
 	r.compare = min(r.compare, r.now+soon)
 }
 
-// divide goes on with the ranges of a range that differ.
-func (r *Replica) divide(p Peer, m *message) {
-	mine := r.tree.children(m.level, m.index)
-	from := r.rng.IntN(fan) // not always the same ones where the budget ends
-	for k := range fan {
-		i := (from + k) % fan
-		if mine[i] == m.sums[i] {
-			continue
-		}
-		if r.tokens < float64(r.o.Datagram) {
-			return
-		}
-		level, child := m.level+1, m.index*fan+i
-		if level < levels && r.tree.n[level][child] > few {
-			r.say(p, &message{verb: sums, level: level, index: child, sums: r.tree.children(level, child)})
-			continue
-		}
-		list := &message{verb: items, level: level, index: child}
-		for _, reg := range r.tree.in(level, child) {
-			if len(reg.words) > 0 {
-				list.items = append(list.items, item{reg.hash, short(reg.sum())})
-			}
-		}
-		if list.part = len(list.items) > mostItems; list.part {
-			r.rng.Shuffle(len(list.items), func(a, b int) { list.items[a], list.items[b] = list.items[b], list.items[a] })
-			list.items = list.items[:mostItems]
-		}
-		r.say(p, list)
+// get returns what is held of a machine.
+func (r *Replica) get(k Key) *register {
+	reg := r.by[k]
+	if reg == nil {
+		reg = &register{key: k, hash: k.hash()}
+		r.by[k] = reg
+		r.tree.Put(reg)
 	}
+	return reg
 }
 
-// list answers what another holds in a range: by what it lacks, and by asking for
-// what is lacking here.
-func (r *Replica) list(p Peer, m *message) {
-	theirs := map[uint64]uint32{}
-	for _, i := range m.items {
-		theirs[i.hash] = i.sum
-	}
-	for _, reg := range r.tree.in(m.level, m.index) {
-		sum, has := theirs[reg.hash]
-		if len(reg.words) > 0 && (has && sum != short(reg.sum()) || !has && !m.part) {
-			r.tell(p, reg)
-		}
-		if has && sum == short(reg.sum()) {
-			delete(theirs, reg.hash)
-		}
-	}
-	r.flush(p)
-	lack := &message{verb: want}
-	for _, i := range m.items {
-		if _, yes := theirs[i.hash]; yes && len(lack.want) < mostWant {
-			lack.want = append(lack.want, i.hash)
-		}
-	}
-	if len(lack.want) > 0 {
-		r.say(p, lack)
+// merge merges a word in.
+func (r *Replica) merge(k Key, w *Word) (reg *register, changed bool) {
+	reg = r.get(k)
+	was := reg.Sum()
+	if changed = reg.add(w); changed {
+		r.tree.Change(reg, was)
 	}
+	return reg, changed
 }
 
 // learn merges words in. What is new is passed on to a few: whoever sent it may
@@ -559,7 +533,7 @@
 	var news []*register
 	for _, e := range m.spoken {
 		r.last = max(r.last, e.word.At)
-		reg, changed := r.tree.add(e.key, e.word)
+		reg, changed := r.merge(e.key, e.word)
 		if changed {
 			news = append(news, reg)
 		}
@@ -636,7 +610,7 @@
 }
 
 // Digest is one number for all words that are held.
-func (r *Replica) Digest() uint64 { return r.tree.sums[0][0] }
+func (r *Replica) Digest() uint64 { return r.tree.Digest() }
 
 // Ready reports whether this copy has caught up.
 func (r *Replica) Ready() bool { return r.ready }
@@ -663,7 +637,9 @@
 
 // All is what is held, by machine.
 func (r *Replica) All() (list []Held) {
-	for _, reg := range r.tree.keys() {
+	for _, reg := range slices.SortedFunc(maps.Values(r.by), func(a, b *register) int {
+		return cmp.Or(cmp.Compare(a.key.Kind, b.key.Kind), cmp.Compare(a.key.ID, b.key.ID))
+	}) {
 		w, lost := reg.last(r.o.LastWins)
 		if w == nil {
 			continue
@@ -680,7 +656,7 @@
 
 // IsOut reports whether a machine is out.
 func (r *Replica) IsOut(k Key) bool {
-	reg := r.tree.by[k]
+	reg := r.by[k]
 	if reg == nil {
 		return false
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"dewhill/internal/digest"
 	"dewhill/internal/testprog"
 )
 
@@ -73,8 +74,8 @@
 	if err != nil || len(m.spoken) != 1 || fmt.Sprint(*m.spoken[0].word) != fmt.Sprint(*w) || m.spoken[0].key.ID != "s-1" || m.seq != 5 {
 		t.Fatalf("%v: %+v", err, m)
 	}
-	list := string((&message{verb: items, level: 3, index: 4095, items: []item{{5, 6}}, part: true}).append(nil))
-	digests := string((&message{verb: sums, level: 1, index: 15, sums: make([]uint32, fan)}).append(nil))
+	list := string((&message{verb: items, part: digest.Part{Range: digest.Range{Level: 3, Index: 4095}, Items: []digest.Item{{Hash: 5, Sum: 6}}, Some: true}}).append(nil))
+	digests := string((&message{verb: sums, part: digest.Part{Range: digest.Range{Level: 1, Index: 15}, Sums: make([]uint32, digest.Fan)}}).append(nil))
 	first := string((&message{verb: root, sum: 5, ready: true}).append(nil))
 	lack := string((&message{verb: want, want: []uint64{1, 2}}).append(nil))
 	for _, s := range []string{list, digests, first, lack} {
@@ -94,7 +95,7 @@
 				}
 			}
 		}
-		if n := len(r.tree.by); n > 20 {
+		if n := len(r.by); n > 20 {
 			t.Fatalf("%d machines", n)
 		}
 	})
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -140,15 +140,27 @@
 			}
 		})
 	}
-	if next := r.Next(); f.woken[i] <= f.now || next < f.woken[i] {
-		f.woken[i] = next
-		f.after(next-f.now, func() {
-			if f.reps[i] == r && r.Next() <= f.now {
-				f.woken[i] = 0
-				f.apply(i, Woke{})
-			}
-		})
+	f.arm(i)
+}
+
+// arm wakes a copy when it asks to be.
+func (f *fleet) arm(i int) {
+	r := f.reps[i]
+	next := r.Next()
+	if f.woken[i] > f.now && next >= f.woken[i] {
+		return // it wakes before, and is armed again
 	}
+	f.woken[i] = next
+	f.after(next-f.now, func() {
+		if f.reps[i] != r {
+			return
+		}
+		if f.woken[i] = 0; r.Next() <= f.now {
+			f.apply(i, Woke{})
+		} else {
+			f.arm(i)
+		}
+	})
 }
 
 func (f *fleet) run(ms float64) {
@@ -202,7 +214,7 @@
 			k := Key{Engine, engine}
 			had := map[Dot]bool{}
 			before := 0
-			if reg := f.reps[i].tree.by[k]; reg != nil {
+			if reg := f.reps[i].by[k]; reg != nil {
 				for _, w := range reg.words {
 					had[w.Dot] = true
 					for d := range known[w.Dot] {
--- a/internal/replica/wire.go
+++ b/internal/replica/wire.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/binary"
-	"errors"
 
 	"google.golang.org/protobuf/encoding/protowire"
+
+	"dewhill/internal/digest"
+	"dewhill/internal/pbuf"
 )
 
 // verb is what a message is for.
@@ -44,20 +46,11 @@
 	seq    uint32
 	ready  bool
 	sum    uint64
-	level  int
-	index  int
-	sums   []uint32
-	items  []item
-	part   bool
+	part   digest.Part // of sums and items
 	want   []uint64
 	spoken []entry
 }
 
-type item struct {
-	hash uint64
-	sum  uint32
-}
-
 type entry struct {
 	key  Key
 	word *Word
@@ -71,110 +64,43 @@
 	mostAt = 1 << 63
 )
 
-func appendNum(b []byte, field protowire.Number, v uint64) []byte {
-	if v == 0 {
-		return b
-	}
-	return protowire.AppendVarint(protowire.AppendTag(b, field, protowire.VarintType), v)
-}
-
-func flag(yes bool) uint64 {
-	if yes {
-		return 1
-	}
-	return 0
-}
-
-func appendFixed(b []byte, field protowire.Number, v uint64) []byte {
-	return protowire.AppendFixed64(protowire.AppendTag(b, field, protowire.Fixed64Type), v)
-}
-
-func appendBytes(b []byte, field protowire.Number, v []byte) []byte {
-	if len(v) == 0 {
-		return b
-	}
-	return protowire.AppendBytes(protowire.AppendTag(b, field, protowire.BytesType), v)
-}
-
 // append writes all but entries.
 func (m *message) append(b []byte) []byte {
-	b = appendNum(b, 1, uint64(m.verb))
-	b = appendNum(b, 2, uint64(m.seq))
-	b = appendNum(b, 3, flag(m.ready))
+	b = pbuf.Num(b, 1, uint64(m.verb))
+	b = pbuf.Num(b, 2, uint64(m.seq))
+	b = pbuf.Flag(b, 3, m.ready)
 	if m.verb == root || m.verb == same {
-		b = appendFixed(b, 4, m.sum)
-	}
-	b = appendNum(b, 5, uint64(m.level))
-	b = appendNum(b, 6, uint64(m.index))
-	var body []byte
-	for _, s := range m.sums {
-		body = binary.BigEndian.AppendUint32(body, s)
+		b = pbuf.Fixed(b, 4, m.sum)
 	}
-	b = appendBytes(b, 7, body)
-	body = nil
-	for _, i := range m.items {
-		body = binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint64(body, i.hash), i.sum)
-	}
-	b = appendBytes(b, 8, body)
-	b = appendNum(b, 9, flag(m.part))
-	body = nil
-	for _, h := range m.want {
-		body = binary.BigEndian.AppendUint64(body, h)
-	}
-	return appendBytes(b, 10, body)
+	b = pbuf.Num(b, 5, uint64(m.part.Level))
+	b = pbuf.Num(b, 6, uint64(m.part.Index))
+	b = pbuf.Bytes(b, 7, digest.AppendSums(nil, m.part.Sums))
+	b = pbuf.Bytes(b, 8, digest.AppendItems(nil, m.part.Items))
+	b = pbuf.Flag(b, 9, m.part.Some)
+	return pbuf.Bytes(b, 10, digest.AppendHashes(nil, m.want))
 }
 
 // appendEntry writes a word.
 func appendEntry(b []byte, k Key, w *Word) []byte {
-	body := appendNum(nil, 1, uint64(k.Kind))
-	body = appendBytes(body, 2, []byte(k.ID))
-	body = appendFixed(body, 3, w.Author)
-	body = appendFixed(body, 4, w.At)
-	body = appendNum(body, 5, flag(w.Out))
-	body = appendBytes(body, 6, []byte(w.By))
+	body := pbuf.Num(nil, 1, uint64(k.Kind))
+	body = pbuf.Bytes(body, 2, []byte(k.ID))
+	body = pbuf.Fixed(body, 3, w.Author)
+	body = pbuf.Fixed(body, 4, w.At)
+	body = pbuf.Flag(body, 5, w.Out)
+	body = pbuf.Bytes(body, 6, []byte(w.By))
 	var knows []byte
 	for _, d := range w.Knows {
 		knows = binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(knows, d.Author), d.At)
 	}
-	return appendBytes(b, 11, appendBytes(body, 7, knows))
+	return pbuf.Bytes(b, 11, pbuf.Bytes(body, 7, knows))
 }
 
-var errSpoilt = errors.New("spoilt message")
-
-// fields calls f with each field. Those it does not know are the next version's.
-func fields(b []byte, f func(n protowire.Number, v uint64, body []byte) error) error {
-	for len(b) > 0 {
-		n, typ, k := protowire.ConsumeTag(b)
-		if k < 0 {
-			return errSpoilt
-		}
-		b = b[k:]
-		var v uint64
-		var body []byte
-		switch typ {
-		case protowire.VarintType:
-			v, k = protowire.ConsumeVarint(b)
-		case protowire.Fixed64Type:
-			v, k = protowire.ConsumeFixed64(b)
-		case protowire.BytesType:
-			body, k = protowire.ConsumeBytes(b)
-		default:
-			k = protowire.ConsumeFieldValue(n, typ, b)
-		}
-		if k < 0 {
-			return errSpoilt
-		}
-		b = b[k:]
-		if err := f(n, v, body); err != nil {
-			return err
-		}
-	}
-	return nil
-}
+var errSpoilt = pbuf.ErrSpoilt
 
 // decode reads a message.
 func decode(b []byte) (m message, err error) {
-	err = fields(b, func(n protowire.Number, v uint64, body []byte) error {
+	err = pbuf.Fields(b, func(n protowire.Number, v uint64, body []byte) error {
+		ok := true
 		switch n {
 		case 1:
 			m.verb = verb(min(v, 255))
@@ -187,32 +113,17 @@
 		case 4:
 			m.sum = v
 		case 5:
-			m.level = int(min(v, levels+1))
+			m.part.Level = int(min(v, 1<<16))
 		case 6:
-			m.index = int(min(v, leaves))
+			m.part.Index = int(min(v, 1<<16))
 		case 7:
-			if len(body) != 4*fan {
-				return errSpoilt
-			}
-			for ; len(body) > 0; body = body[4:] {
-				m.sums = append(m.sums, binary.BigEndian.Uint32(body))
-			}
+			m.part.Sums, ok = digest.ReadSums(body)
 		case 8:
-			if len(body)%12 != 0 {
-				return errSpoilt
-			}
-			for ; len(body) > 0; body = body[12:] {
-				m.items = append(m.items, item{binary.BigEndian.Uint64(body), binary.BigEndian.Uint32(body[8:])})
-			}
+			m.part.Items, ok = digest.ReadItems(body)
 		case 9:
-			m.part = v != 0
+			m.part.Some = v != 0
 		case 10:
-			if len(body)%8 != 0 {
-				return errSpoilt
-			}
-			for ; len(body) > 0; body = body[8:] {
-				m.want = append(m.want, binary.BigEndian.Uint64(body))
-			}
+			m.want, ok = digest.ReadHashes(body)
 		case 11:
 			e, err := decodeEntry(body)
 			if err != nil {
@@ -220,13 +131,12 @@
 			}
 			m.spoken = append(m.spoken, e)
 		}
+		if !ok {
+			return errSpoilt
+		}
 		return nil
 	})
-	size := 1
-	for range min(m.level, levels) {
-		size *= fan
-	}
-	if err == nil && (m.verb < put || m.verb > want || m.level > levels || m.index >= size || m.verb == sums && (len(m.sums) != fan || m.level == levels)) {
+	if err == nil && (m.verb < put || m.verb > want || !m.part.Valid() || m.verb == sums && (m.part.Sums == nil || m.part.Level == digest.Levels)) {
 		err = errSpoilt
 	}
 	return m, err
@@ -234,7 +144,7 @@
 
 func decodeEntry(b []byte) (e entry, err error) {
 	e.word = &Word{}
-	err = fields(b, func(n protowire.Number, v uint64, body []byte) error {
+	err = pbuf.Fields(b, func(n protowire.Number, v uint64, body []byte) error {
 		switch n {
 		case 1:
 			e.key.Kind = byte(min(v, 255))
@@ -275,7 +185,7 @@
 
 // decodeWords reads what encodeRegister wrote.
 func decodeWords(b []byte) (list []entry, err error) {
-	err = fields(b, func(n protowire.Number, _ uint64, body []byte) error {
+	err = pbuf.Fields(b, func(n protowire.Number, _ uint64, body []byte) error {
 		e, err := decodeEntry(body)
 		if n == 11 && err == nil {
 			list = append(list, e)
--- a/internal/replica/word.go
+++ b/internal/replica/word.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"dewhill/internal/digest"
 )
 
 // Kinds of machines.
@@ -130,28 +132,24 @@
 	return w
 }
 
-// sum is what a register adds to digests.
-func (r *register) sum() (s uint64) {
+// Sum is what a register adds to digests.
+func (r *register) Sum() (s uint64) {
 	for _, w := range r.words {
-		s ^= mix(mix(w.Author) + w.At)
+		s ^= digest.Mix(digest.Mix(w.Author) + w.At)
 	}
 	if s == 0 {
 		return 0
 	}
-	return mix(r.hash ^ s)
+	return digest.Mix(r.hash ^ s)
 }
 
-// mix is the finalizer of SplitMix64.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
+// Hash is of its key.
+func (r *register) Hash() uint64 { return r.hash }
 
 func (k Key) hash() uint64 {
 	h := uint64(14695981039346656037)
 	for _, c := range append([]byte{k.Kind}, k.ID...) {
 		h = (h ^ uint64(c)) * 1099511628211
 	}
-	return mix(h)
+	return digest.Mix(h)
 }
