Loads with ids are the fleet's on the MySQL front: claimed by a majority before sent

The platform front end's group settles who runs a load; the MySQL front asks it across the two loops before it sends, and tells how it ended. Hint retry=yes marks a try. Off without [replica].

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -39,6 +39,7 @@
 	Again    float64 // until a message without an answer is sent again
 	Round    float64 // after which a round's answers don't count any more
 	Quiet    float64 // that one without memory waits before it takes over: longer than Round
+	Refuse   float64 // after which a claim that no majority has answered is refused
 	Look     float64 // between looks at a claim that another front end runs
 	Compare  float64 // between comparisons with others
 	Remember float64 // that ids are remembered
@@ -47,7 +48,7 @@
 
 // Defaults are the times for links of up to some hundred ms.
 func Defaults() Times {
-	return Times{Again: 150, Round: 2000, Quiet: 3000, Look: 300, Compare: 4000, Remember: 600_000, Free: 60_000}
+	return Times{Again: 150, Round: 2000, Quiet: 3000, Refuse: 2500, Look: 300, Compare: 4000, Remember: 600_000, Free: 60_000}
 }
 
 const (
@@ -237,6 +238,7 @@
 	what    What
 	tries   int
 	seen    uint32
+	settled bool   // a majority has answered once
 	exposed bool   // a claim of this front end's may have been accepted
 	left    uint32 // its gen
 	over    bool
@@ -580,6 +582,7 @@
 
 // decided ends a round whose value a majority has accepted.
 func (c *Claims) decided(o *op) {
+	o.settled = true
 	r := c.get(o.key)
 	c.adopt(r, o.ballot, o.value)
 	if o.claim == nil {
@@ -652,10 +655,11 @@
 func (c *Claims) work() {
 	for i := 0; i < len(c.ops); i++ {
 		o := c.ops[i]
-		if o.over || o.at > c.now && o.giveUp > c.now {
+		end := o.end(c.o.Times.Refuse)
+		if o.over || o.at > c.now && end > c.now {
 			continue
 		}
-		if c.now >= o.giveUp {
+		if c.now >= end {
 			c.giveUp(o)
 			continue
 		}
@@ -685,13 +689,22 @@
 	}
 	c.next = c.compare
 	for _, o := range c.ops {
-		c.next = min(c.next, o.at, o.giveUp)
+		c.next = min(c.next, o.at, o.end(c.o.Times.Refuse))
 	}
 	for _, r := range c.telling {
 		c.next = min(c.next, r.spread)
 	}
 }
 
+// end is when a change is given up: early where nobody answers, so that a client
+// on the smaller side of a partition hears at once.
+func (o *op) end(refuse float64) float64 {
+	if o.claim != nil && !o.settled {
+		return min(o.giveUp, o.began+refuse)
+	}
+	return o.giveUp
+}
+
 // giveUp ends a change whose time is up. What its rounds may have left behind is
 // freed: nobody will run it.
 func (c *Claims) giveUp(o *op) {
@@ -699,7 +712,7 @@
 		o.over = true
 		return
 	}
-	if o.what == InFlight && o.phase == 0 {
+	if o.what == InFlight {
 		c.verdict(o, InFlight, nil)
 		return
 	}
--- a/internal/faultrig/rig.go
+++ b/internal/faultrig/rig.go
@@ -35,10 +35,11 @@
 	Seed    uint64
 	Size    int
 	Engines int
-	Group   string   // the text of group.toml
-	Tags    []string // build tags of the program
-	Seeds   int      // above 0: no lists, and the first so many are the seeds; no faults between front ends
-	Keep    bool     // each has a folder that lasts
+	Group   string                 // the text of group.toml
+	Tags    []string               // build tags of the program
+	Seeds   int                    // above 0: no lists, and the first so many are the seeds; no faults between front ends
+	Keep    bool                   // each has a folder that lasts
+	Args    func(num int) []string // more arguments of the program
 }
 
 // Front is a front end: its process comes and goes, its name and addresses stay.
@@ -89,6 +90,9 @@
 // Start starts a fleet, which ends with the test.
 func Start(t testing.TB, o Options) *Rig {
 	t.Helper()
+	if o.Args == nil {
+		o.Args = func(int) []string { return nil }
+	}
 	r := &Rig{t: t, o: o, began: time.Now(), asked: map[string]*asked{}, Board: newBoard(t)}
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -184,7 +188,7 @@
 	}
 	r.Note("%s is started", f.Name)
 	f.prog = testprog.StartTagged(r.t, r.o.Tags, []string{"PROXY_CONFIG=" + f.path, "PROXY_NAME=", "PROXY_LISTEN=", "PROXY_CONTROL=", "TMPDIR=" + f.tmp},
-		"-group", f.toml)
+		append([]string{"-group", f.toml}, r.o.Args(f.Num)...)...)
 }
 
 // Signal sends a front end's process a signal; SIGKILL and SIGTERM end it.
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 
+	"dewhill/internal/claim"
 	"dewhill/internal/member"
 	"dewhill/internal/peer"
 )
@@ -63,6 +64,7 @@
 	memory Memory  // nil: none
 	kept   uint32  // incarnation that it was given last
 	shared *shared // of the replicated state; nil: off
+	loads  *loads  // nil: off
 
 	Count struct {
 		Sent, Received, Foreign, Spoilt, OtherVersion, SendErrors int
@@ -93,10 +95,14 @@
 		host.After(lookEvery, g.look)
 	}
 	if o.Replica.On {
-		g.shared = newShared(g, o)
+		g.shared, g.loads = newShared(g, o), newLoads(g, o)
 	}
 	g.apply(member.Start{})
-	g.shared.start()
+	if g.shared != nil {
+		g.shared.start()
+		g.loads.members()
+		g.loads.apply(claim.Start{})
+	}
 	return g
 }
 
@@ -115,7 +121,7 @@
 func (g *Group) apply(ev member.Event) {
 	out := g.view.Apply(g.host.Now(), ev)
 	if len(out.Changes) > 0 {
-		defer g.shared.members()
+		defer g.tellMembers()
 	}
 	for _, c := range out.Changes {
 		if g.logged++; g.logged <= mostLogged {
@@ -135,6 +141,14 @@
 	}
 }
 
+// tellMembers tells what stands on the view who is there.
+func (g *Group) tellMembers() {
+	if g.shared != nil {
+		g.shared.members()
+		g.loads.members()
+	}
+}
+
 // wake wakes the view when it asked to be. The loop can't take a timer back, so
 // one set for an earlier time may still come.
 func (g *Group) wake() {
@@ -172,6 +186,8 @@
 		if !g.left {
 			g.apply(member.Heard{Num: num, From: from, Msg: body})
 		}
+	case kind == peer.Loads && g.loads != nil:
+		g.loads.heard(num, from, body)
 	case kind == peer.Replica && g.shared != nil:
 		g.shared.heard(num, from, body)
 	default:
@@ -225,5 +241,9 @@
 
 // Report are the counters.
 func (g *Group) Report() any {
-	return map[string]any{"link": g.Count, "view": g.view.Counter, "health": g.view.Health(), "settled": g.view.Settled()}
+	all := map[string]any{"link": g.Count, "view": g.view.Counter, "health": g.view.Health(), "settled": g.view.Settled()}
+	if g.shared != nil {
+		all["words"], all["loads"] = g.shared.r.Counter, g.loads.c.Counter
+	}
+	return all
 }
--- a/internal/group/guard.go
+++ b/internal/group/guard.go
@@ -1,4 +1,4 @@
-//go:build !unguarded_view && !unguarded_replica
+//go:build !unguarded_view && !unguarded_replica && !unguarded_loads
 
 package group
 
@@ -8,3 +8,6 @@
 
 // hasty leaves out that a front end catches up before it serves.
 const hasty = false
+
+// lonely takes one vote for a majority, where a load is claimed.
+const lonely = false
--- a/internal/group/guard_hasty.go
+++ b/internal/group/guard_hasty.go
@@ -5,3 +5,5 @@
 const unguarded = false
 
 const hasty = true
+
+const lonely = false
--- a/internal/group/guard_off.go
+++ b/internal/group/guard_off.go
@@ -5,3 +5,5 @@
 const unguarded = true
 
 const hasty = false
+
+const lonely = false
--- /dev/null
+++ b/internal/group/loads.go
@@ -0,0 +1,127 @@
+package group
+
+import (
+	"math"
+	"math/rand/v2"
+	"net/netip"
+
+	"dewhill/internal/claim"
+	"dewhill/internal/member"
+	"dewhill/internal/peer"
+)
+
+// loads joins this front end's part in the claims of loads to the link, the
+// timers, the disk and the view.
+type loads struct {
+	g      *Group
+	c      *claim.Claims
+	armed  float64
+	asked  map[uint64]func(claim.Verdict)
+	ticket uint64
+	voter  bool
+	out    int // granted, and not ended
+}
+
+// votes is the prefix of their keys in the memory.
+const votes = "loads/"
+
+func newLoads(g *Group, o Options) *loads {
+	l := &loads{g: g, asked: map[uint64]func(claim.Verdict){}}
+	co := claim.Options{Author: rand.Uint64() | 1, Datagram: o.Datagram - peer.Overhead, Lasting: g.memory != nil,
+		AnyMajority: lonely}
+	if g.memory != nil {
+		var err error
+		if co.Known, err = g.memory.All(votes); err != nil {
+			g.host.Logf("loads: what was kept can't be read: %v", err)
+		}
+	}
+	l.c = claim.New(co, g.who.Seed)
+	return l
+}
+
+// apply gives the claims an event and carries out the effects.
+func (l *loads) apply(ev claim.Event) {
+	out := l.c.Apply(l.g.host.Now(), ev)
+	for _, k := range out.Keeps {
+		l.g.memory.PutSoon(votes+k.Name, k.Record, func() { l.g.host.Post(func() { l.apply(claim.Kept{Token: k.Token}) }) })
+	}
+	for _, s := range out.Sends {
+		l.g.Send(peer.Loads, s.To.Num, s.To.Addr, s.Msg)
+	}
+	if l.c.Voter() && !l.voter {
+		l.voter = true
+		l.g.host.Logf("loads: votes; without what the fleet knew: %v", l.c.Counter.Amnesia > 0)
+	}
+	for _, v := range out.Verdicts {
+		if then := l.asked[v.Ticket]; then != nil {
+			delete(l.asked, v.Ticket)
+			then(v)
+		}
+	}
+	if next := l.c.Next(); !l.g.left && !math.IsInf(next, 1) && (l.armed == 0 || next < l.armed) {
+		l.armed = next
+		l.g.host.After(next-l.g.host.Now(), l.wake)
+	}
+}
+
+func (l *loads) wake() {
+	if l.g.left || l.g.host.Now() < l.armed {
+		return
+	}
+	l.armed = 0
+	l.apply(claim.Woke{})
+}
+
+func (l *loads) heard(num int, from netip.AddrPort, body []byte) {
+	if l.g.left {
+		return
+	}
+	p := claim.Peer{Num: num}
+	if num < 0 {
+		p.Addr = from
+	}
+	l.apply(claim.Heard{From: p, Msg: body})
+}
+
+// members passes on who is there.
+func (l *loads) members() {
+	m := claim.Members{Size: l.g.view.Size()}
+	for _, o := range l.g.others() {
+		p := claim.Peer{Num: o.Num}
+		if o.Num < 0 {
+			p.Addr = o.Addr
+		}
+		m.All = append(m.All, p)
+		if o.State == member.Alive || o.State == member.Suspect {
+			m.Alive = append(m.Alive, p)
+		}
+	}
+	l.apply(m)
+}
+
+// Claim asks whether this front end may run a load, within ms. then hears once.
+func (g *Group) Claim(k claim.Key, of uint64, ms float64, again bool, then func(claim.Verdict)) {
+	l := g.loads
+	l.ticket++
+	l.asked[l.ticket] = func(v claim.Verdict) {
+		if v.What == claim.Granted {
+			l.out++
+		}
+		then(v)
+	}
+	l.apply(claim.Claim{Key: k, Of: of, Ticket: l.ticket, GiveUp: g.host.Now() + ms, Again: again})
+}
+
+// Ended tells how a load ended for which a claim was granted.
+func (g *Group) Ended(k claim.Key, end claim.End, out []byte) {
+	g.loads.out--
+	g.loads.apply(claim.Done{Key: k, End: end, Out: out})
+}
+
+// Asked is how many claims wait for a verdict, or were granted and have not ended.
+func (g *Group) Asked() int {
+	if g.loads == nil {
+		return 0
+	}
+	return len(g.loads.asked) + g.loads.out
+}
--- a/internal/group/shared.go
+++ b/internal/group/shared.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"dewhill/internal/claim"
 	"dewhill/internal/member"
 	"dewhill/internal/peer"
 	"dewhill/internal/replica"
@@ -62,10 +63,8 @@
 
 // start begins, once the view has.
 func (c *shared) start() {
-	if c != nil {
-		c.members()
-		c.apply(replica.Start{})
-	}
+	c.members()
+	c.apply(replica.Start{})
 }
 
 // apply gives the copy an event and carries out the effects.
@@ -123,18 +122,12 @@
 
 // members passes on who is there.
 func (c *shared) members() {
-	if c == nil {
-		return
-	}
 	m := replica.Members{Size: c.g.view.Size()}
-	for _, o := range c.g.view.Members() {
+	for _, o := range c.g.others() {
 		p := replica.Peer{Num: o.Num}
 		if o.Num < 0 {
 			p.Addr = o.Addr
 		}
-		if o.State == member.Left || o.Num >= 0 && o.Num == c.g.who.Self || o.Num < 0 && o.Name == c.g.who.Name {
-			continue
-		}
 		m.All = append(m.All, p)
 		if o.State == member.Alive || o.State == member.Suspect {
 			m.Alive = append(m.Alive, p)
@@ -143,6 +136,16 @@
 	c.apply(m)
 }
 
+// others lists the members of the view but this front end and those that left.
+func (g *Group) others() (list []member.Member) {
+	for _, o := range g.view.Members() {
+		if o.State != member.Left && (o.Num < 0 || o.Num != g.who.Self) && (o.Num >= 0 || o.Name != g.who.Name) {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
 // need is how many must hold a word.
 func (c *shared) need() int {
 	if c.keep == "here" {
@@ -204,6 +207,14 @@
 	AtMs   uint64 `json:"at_ms"`
 }
 
+// loadsShown are the loads by id that are known here.
+type loadsShown struct {
+	Votes      bool `json:"votes"`
+	Claimed    int  `json:"claimed"`
+	MayHaveRun int  `json:"may_have_run"`
+	Ended      int  `json:"ended"`
+}
+
 // State is what the door shows of the replicated state, as JSON; nil: it is off.
 func (g *Group) State() []byte {
 	if g.shared == nil {
@@ -211,6 +222,7 @@
 	}
 	r := g.shared.r
 	conflicts, out := []conflict{}, []outBy{}
+	held := g.loads.c.Count()
 	all := r.All()
 	for _, h := range all {
 		show := func(w replica.Word) said { return said{w.By, w.At >> 16, w.Out} }
@@ -237,6 +249,8 @@
 		Lag        int        `json:"lag"`
 		Conflicts  []conflict `json:"conflicts"`
 		EnginesOut []outBy    `json:"engines_out"`
-	}{fmt.Sprintf("%016x", r.Digest()), len(all), r.Ready(), r.Lag(), conflicts, out})
+		Loads      loadsShown `json:"loads"`
+	}{fmt.Sprintf("%016x", r.Digest()), len(all), r.Ready(), r.Lag(), conflicts, out,
+		loadsShown{g.loads.c.Voter(), held[claim.Claimed], held[claim.MayRun], held[claim.Ended]}})
 	return b
 }
--- a/internal/keep/keep.go
+++ b/internal/keep/keep.go
@@ -242,6 +242,12 @@
 				if was := s.Get([]byte(k)); was != nil {
 					total ^= mark([]byte(k), was)
 				}
+				if v == nil {
+					if err := s.Delete([]byte(k)); err != nil {
+						return err
+					}
+					continue
+				}
 				v = seal(v)
 				if total ^= mark([]byte(k), v); s.Put([]byte(k), v) != nil {
 					return fmt.Errorf("key %q can't be put", k)
@@ -282,7 +288,7 @@
 }
 
 // PutSoon keeps a value in the background: the loop doesn't wait for a disk.
-// Where values come faster than the disk takes them, later ones take the place
+// A value of nil takes the key out. Where values come faster than the disk takes them, later ones take the place
 // of those that wait. then, which may be nil, is called in the background once the
 // value, or a later one, is on the disk; not at all if it can't be kept.
 func (f *Folder) PutSoon(key string, v []byte, then func()) {
--- a/internal/keep/keep_test.go
+++ b/internal/keep/keep_test.go
@@ -126,6 +126,15 @@
 			break
 		}
 	}
+	if err := errors.Join(f.Put("gone", []byte{1}), f.Put("gone", nil)); err != nil {
+		t.Error(err)
+	}
+	if v, err := f.Get("gone"); v != nil || err != nil {
+		t.Errorf("taken out: %v, %v", v, err)
+	}
+	if err := f.check(); err != nil {
+		t.Error(err)
+	}
 	if n := then.Load(); n != 100 {
 		t.Errorf("%d of 100 heard that their value is kept", n)
 	}
--- /dev/null
+++ b/internal/mysql/claims.go
@@ -0,0 +1,91 @@
+package mysql
+
+import (
+	"dewhill/internal/claim"
+)
+
+// Claims settle among the front ends who runs a load with an id. Its methods are
+// called in the front's loop, and so is then, once.
+type Claims interface {
+	// Claim asks within ms for a load, named by account and id, that runs what of
+	// is the hash of. again: its client says that it tried before.
+	Claim(name, of string, ms float64, again bool, then func(claim.Verdict))
+	// Ended tells how a load that was granted ended, with its OK packet.
+	Ended(name string, end claim.End, ok []byte)
+}
+
+// codeUnknown answers a try of a load whose id nobody remembers.
+const codeUnknown = 1233 // 08007
+
+// claimLate is how much longer than its time a claim is waited for, in ms: the
+// front ends answer by themselves before, unless this one is ending.
+const claimLate = 500.0
+
+// claim has the fleet settle who runs a load before anything is sent. run is
+// called with what is left of its time, and must call the function that it is
+// given with the outcome.
+func (f *Front) claim(name, of string, m meta, done func(outcome), run func(ms float64, done func(outcome))) {
+	asked, heard := f.host.Now(), false
+	f.host.After(m.deadline+claimLate, func() {
+		if !heard {
+			heard = true
+			done(outcome{err: refusal(f.cfg.Settings.Limits.MaxRetryAfterMs)})
+		}
+	})
+	f.Claims.Claim(name, of, m.deadline, m.again, func(v claim.Verdict) {
+		if heard { // the client has been refused: it must not run any more
+			if v.What == claim.Granted {
+				f.Claims.Ended(name, claim.Never, nil)
+			}
+			return
+		}
+		heard = true
+		f.Count.Claims++
+		f.Count.ClaimMs += v.Ms
+		left := m.deadline - (f.host.Now() - asked)
+		if v.What == claim.Granted && left > 0 {
+			run(left, func(o outcome) {
+				end, ok := o.end()
+				f.Claims.Ended(name, end, ok)
+				done(o)
+			})
+			return
+		}
+		if v.What == claim.Granted {
+			f.Claims.Ended(name, claim.Never, nil)
+		}
+		done(f.told(v))
+	})
+}
+
+// end is what an outcome means for the claim: whether it happened, provably never
+// ran, or may have run. An engine's own error means that nothing was done.
+func (o outcome) end() (claim.End, []byte) {
+	switch {
+	case o.err != nil && o.err.Code == codeMayRun:
+		return claim.Lost, nil
+	case o.err != nil:
+		return claim.Never, nil
+	case o.res != nil && o.res.OK != nil && len(o.res.OK) <= claim.MostOut:
+		return claim.Happened, o.res.OK
+	}
+	return claim.Happened, okPacket(0, 0) // rows are not kept
+}
+
+// told words a verdict for the client.
+func (f *Front) told(v claim.Verdict) outcome {
+	switch v.What {
+	case claim.Outcome:
+		return outcome{res: &Result{OK: v.Out}}
+	case claim.MayHave, claim.InFlight:
+		return outcome{err: &Error{codeMayRun, "08007", "failed, and it may have run: do not simply repeat it"}}
+	case claim.Other:
+		return outcome{err: errOtherID}
+	case claim.Unknown:
+		return outcome{err: &Error{codeUnknown, "08007", "this id is not remembered: it may have run"}}
+	}
+	f.Count.Refused++
+	return outcome{err: refusal(f.cfg.Settings.Limits.MaxRetryAfterMs)}
+}
+
+var errOtherID = &Error{1231, "42000", "this id was given to another statement"}
--- a/internal/mysql/classify.go
+++ b/internal/mysql/classify.go
@@ -16,6 +16,7 @@
 	key, id            string
 	deadline, work, mb float64
 	writes             bool
+	again              bool // its client says that it tried before
 }
 
 // shape is what can be told from a statement's text.
@@ -194,6 +195,10 @@
 				return m, bad
 			}
 			m.id = value
+		case "retry":
+			if m.again = value == "yes"; !m.again && value != "no" {
+				return m, bad
+			}
 		case "deadline", "cost", "memory":
 			x, err := strconv.ParseFloat(value, 64)
 			if err != nil || !(x > 0 && x < 1e9) {
--- a/internal/mysql/front.go
+++ b/internal/mysql/front.go
@@ -28,6 +28,8 @@
 	Connections, TooMany, Denied, Malformed, Unsupported int
 	Queries, Prepares, Executes, Served, Refused, Failed int
 	KnownIDs, Abandoned, AcceptErrors, Evicted           int
+	Claims                                               int     `json:",omitempty"` // verdicts of the fleet
+	ClaimMs                                              float64 `json:",omitempty"` // that they took together
 }
 
 const (
@@ -49,6 +51,7 @@
 	order    []string
 	leaving  atomic.Bool
 	open     map[*client]bool
+	Claims   Claims // nil: ids are this process's own
 }
 
 // run is a load that was given an id, running or done. Later tries with its id
@@ -156,13 +159,28 @@
 		return
 	}
 	cat := f.cfg.Settings.Categories[m.class]
+	name, of := "", ""
 	if m.id != "" && cat.Effect != "pure" {
-		if f.join(c, m.id, st, &done) {
+		name, of = c.user+"\x00"+m.id, hashOf(append([]byte(handleKey(st)+"\x00"), executeArg(0, st.Params)...))
+		if f.join(name, of, &done) {
 			return
 		}
 	} else {
 		m.id = ""
 	}
+	if name != "" && f.Claims != nil {
+		f.claim(name, of, m, done, func(ms float64, done func(outcome)) {
+			m.deadline = ms
+			f.start(c, st, s, m, done)
+		})
+		return
+	}
+	f.start(c, st, s, m, done)
+}
+
+// start hands a statement to the decisions.
+func (f *Front) start(c *client, st *Statement, s *shape, m meta, done func(outcome)) {
+	cat := f.cfg.Settings.Categories[m.class]
 	f.lastReq++
 	now := f.host.Now()
 	r := core.Request{ID: fmt.Sprintf("q%d", f.lastReq), Class: m.class, Key: m.key, At: now, GiveUpAt: now + m.deadline,
@@ -183,14 +201,12 @@
 // join looks a load's id up. It guards against a second run of an upload that
 // its client tries again: a try with a known id waits for, or gets, that run's
 // outcome. A run that provably never ran is forgotten, so a try may run.
-func (f *Front) join(c *client, id string, st *Statement, done *func(outcome)) bool {
-	name := c.user + "\x00" + id
-	of := hashOf(append([]byte(handleKey(st)+"\x00"), executeArg(0, st.Params)...))
+func (f *Front) join(name, of string, done *func(outcome)) bool {
 	if r := f.known[name]; r != nil {
 		f.Count.KnownIDs++
 		switch {
 		case r.of != of:
-			(*done)(outcome{err: &Error{1231, "42000", "this id was given to another statement"}})
+			(*done)(outcome{err: errOtherID})
 		case r.done:
 			(*done)(r.out)
 		default:
--- a/internal/mysql/program_test.go
+++ b/internal/mysql/program_test.go
@@ -41,19 +41,25 @@
 	"contract":{"graceToAnswerMs":20,"stopSendingWithinMs":500},
 	"limits":{"cancel":true,"retryAfter":true,"maxRetryAfterMs":500,"tryLimit":5,"connectTimeoutMs":5000}}`
 
-func deploy(t *testing.T, engines int, change func(*mysql.Config)) *deployment {
-	t.Helper()
-	d := &deployment{t: t, path: filepath.Join(t.TempDir(), "mysql.json")}
-	d.cfg = mysql.Config{On: true, Listen: testprog.FreeAddr(t), Read: "lookup", Load: "load",
+// configured is the front's file, with so many stand-ins.
+func configured(t *testing.T, engines int) (cfg mysql.Config, list []*mysql.StandIn) {
+	cfg = mysql.Config{On: true, Listen: testprog.FreeAddr(t), Read: "lookup", Load: "load",
 		Accounts: []mysql.Account{{User: "app", Password: "secret"}}}
-	if err := json.Unmarshal([]byte(settings), &d.cfg.Settings); err != nil {
+	if err := json.Unmarshal([]byte(settings), &cfg.Settings); err != nil {
 		t.Fatal(err)
 	}
 	for i := range engines {
 		e := mysql.NewStandIn(t, fmt.Sprintf("e%d", i), "inner")
-		d.engines = append(d.engines, e)
-		d.cfg.Engines = append(d.cfg.Engines, mysql.Engine{ID: e.ID, Address: e.Addr, Kind: "std-8", User: "gate", Password: "inner"})
+		list = append(list, e)
+		cfg.Engines = append(cfg.Engines, mysql.Engine{ID: e.ID, Address: e.Addr, Kind: "std-8", User: "gate", Password: "inner"})
 	}
+	return cfg, list
+}
+
+func deploy(t *testing.T, engines int, change func(*mysql.Config)) *deployment {
+	t.Helper()
+	d := &deployment{t: t, path: filepath.Join(t.TempDir(), "mysql.json")}
+	d.cfg, d.engines = configured(t, engines)
 	if change != nil {
 		change(&d.cfg)
 	}
--- a/internal/mysql/standin_test.go
+++ b/internal/mysql/standin_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"net"
 	"strings"
 	"sync"
@@ -71,6 +72,13 @@
 	return n
 }
 
+// All is what the engine ran, and how often.
+func (e *StandIn) All() map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.ran)
+}
+
 // Told returns how many handles were prepared and statements killed here.
 func (e *StandIn) Told() (prepares, kills int) {
 	e.mu.Lock()
--- a/internal/node/mysql.go
+++ b/internal/node/mysql.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"crypto/sha256"
+	"hash/fnv"
 	"math/rand/v2"
 
+	"dewhill/internal/claim"
 	"dewhill/internal/core"
 	"dewhill/internal/mysql"
 )
@@ -23,7 +26,39 @@
 	return &MySQL{path, c}, nil
 }
 
-func newMySQL(my *MySQL, share bool) (*service, error) {
+// crossing takes claims of the MySQL front's loads to the loop of the front end
+// whose group settles them, and their verdicts back. Neither loop waits for the
+// other: each of both waiting for room in the other's queue would end both.
+type crossing struct {
+	fleet *Node
+	here  *Loop
+}
+
+func loadKey(name string) (k claim.Key) {
+	sum := sha256.Sum256([]byte(name))
+	copy(k[:], sum[:])
+	return k
+}
+
+// Claim asks the fleet for a load.
+func (x crossing) Claim(name, of string, ms float64, again bool, then func(claim.Verdict)) {
+	what := fnv.New64a()
+	what.Write([]byte(of))
+	go x.fleet.loop.Post(func() {
+		x.fleet.group.Claim(loadKey(name), what.Sum64(), ms, again, func(v claim.Verdict) {
+			go x.here.Post(func() { then(v) })
+		})
+	})
+}
+
+// Ended tells the fleet how a load ended.
+func (x crossing) Ended(name string, end claim.End, ok []byte) {
+	go x.fleet.loop.Post(func() { x.fleet.group.Ended(loadKey(name), end, ok) })
+}
+
+// newMySQL makes the MySQL front. fleet is the front end of this process where it
+// has one: its group settles who runs a load, where it keeps the state together.
+func newMySQL(my *MySQL, share bool, fleet *Node) (*service, error) {
 	cfg := my.Config
 	s, err := cfg.Settings.Control()
 	if err != nil {
@@ -40,6 +75,9 @@
 	loop := newLoop("mysql", s, rand.Uint64())
 	pool := mysql.NewPool(loop, cfg.Limits, ms(orElse(cfg.Settings.Limits.ConnectTimeoutMs, 250)))
 	front := mysql.NewFront(loop, cfg)
+	if fleet != nil && fleet.group != nil && fleet.group.Replicates() {
+		front.Claims = crossing{fleet, loop}
+	}
 	loop.back = pool
 	loop.report = func() any {
 		return map[string]any{"front": front.Count, "requests": loop.Count, "engines": pool.Count,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,19 +86,20 @@
 // is there, as a MySQL front if my is, or as both.
 func Run(cfg *Config, my *MySQL) error {
 	var all []*service
+	var fleet *Node
 	// Before all else: SIGHUP must not end a program that has just started.
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	if cfg != nil {
 		fit(cfg.Limits.Cores, cfg.Limits.MemoryMB)
-		s, err := newNode(cfg)
+		s, n, err := newNode(cfg)
 		if err != nil {
 			return err
 		}
-		all = append(all, s)
+		all, fleet = append(all, s), n
 	}
 	if my != nil {
-		s, err := newMySQL(my, cfg != nil && cfg.Door != "")
+		s, err := newMySQL(my, cfg != nil && cfg.Door != "", fleet)
 		if err != nil {
 			return err
 		}
@@ -165,10 +166,10 @@
 	s.loop.Logf("counters: %s", s.loop.Report())
 }
 
-func newNode(cfg *Config) (*service, error) {
+func newNode(cfg *Config) (*service, *Node, error) {
 	s, err := cfg.Settings.Control()
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	// Clients hold a third of the descriptors, and a connection each for every
 	// open request.
@@ -199,19 +200,19 @@
 	n.loop.report = n.report
 	share := cfg.Door != "" // upgrades are the operators'
 	if n.desk, err = newDesk(n); err != nil {
-		return nil, fmt.Errorf("control: %v", err)
+		return nil, nil, fmt.Errorf("control: %v", err)
 	}
 	l, err := listen(cfg.Listen, share)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if cfg.PeerListen != "" && (s.MayTell || cfg.Group.On) {
 		if n.link, err = peer.Open(sharing(share), cfg.PeerListen, cfg.Peers, cfg.PeersAll, s.Self); err != nil {
-			return nil, fmt.Errorf("peers: %v", err)
+			return nil, nil, fmt.Errorf("peers: %v", err)
 		}
 		n.loop.tell = n.tell
 		if err := n.join(s.Self); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		go n.link.Receive(func(num int, from netip.AddrPort, msg []byte) {
 			n.loop.Post(func() { n.heard(num, from, msg) })
@@ -223,14 +224,17 @@
 	} else {
 		n.begin()
 	}
-	return &service{loop: n.loop, listen: l, accept: n.front.Serve, take: n.front.Take, leave: n.leave, idle: n.front.Idle,
+	return &service{loop: n.loop, listen: l, accept: n.front.Serve, take: n.front.Take, leave: n.leave, idle: n.idle,
 		started: n.desk.open, next: n.desk.replaced,
 		reload: func() {
 			cfg, err := ReadConfig(n.cfg.path)
 			n.loop.Post(func() { n.reload(cfg, err) })
-		}}, nil
+		}}, n, nil
 }
 
+// idle reports whether nobody waits for this front end.
+func (n *Node) idle() bool { return n.front.Idle() && (n.group == nil || n.group.Asked() == 0) }
+
 // begin takes in the engines that are known, and follows the notice board: from
 // then on requests are sent.
 func (n *Node) begin() {
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -23,6 +23,7 @@
 	Fleet   Kind = 1 // the view of the fleet: internal/member
 	Replica Kind = 2 // the replicated state
 	Upkeep  Kind = 3 // the order of maintenance
+	Loads   Kind = 4 // who runs a load: internal/claim
 )
 
 const (
@@ -81,6 +82,8 @@
 		return "replica"
 	case Upkeep:
 		return "upkeep"
+	case Loads:
+		return "loads"
 	}
 	return "unknown"
 }
