--- a/Makefile
+++ b/Makefile
@@ -23,4 +23,6 @@
 SEED = 100
 faults:
 	go test -count=1 ./internal/faultrig -run ViewsSettle -v -seeds $(N) -seed $(SEED) -settle 15s -timeout $(M)m
+	go test -count=1 ./internal/faultrig -run EngineOut -v -seed $(SEED) -slack 200ms -timeout $(M)m
+	go test -count=1 ./internal/mysql -run LoadsOfTheFleet -v -seed $(SEED) -loads 10000 -fronts 16 -lasts 60s -timeout $(M)m
 	go test -count=1 ./internal/membersim -run Measure -v -measure all -seeds $(N) -timeout $(M)m
--- a/internal/faultrig/words_test.go
+++ b/internal/faultrig/words_test.go
@@ -190,6 +190,12 @@
 	}
 	say(r.Fronts[0], "engines/s-00/offline", 200)
 	say(r.Fronts[0], "engines/s-99/offline", 404)
+	// A second process beside the first would vote with a memory of its own.
+	f := r.Fronts[0]
+	p := testprog.Start(t, []string{"PROXY_CONFIG=" + f.path, "PROXY_NAME=", "PROXY_LISTEN=", "TMPDIR=" + f.tmp, "PROXY_CONTROL=" + testprog.FreeAddr(t)}, "-group", f.toml)
+	if p.Wait() != 1 || !strings.Contains(p.Log(), "another process of this name?") {
+		t.Errorf("a second process under one name: %s", p.Log())
+	}
 	if s := r.oneState(t, *limit); !s.out("s-00") || s.Entries != 1 {
 		t.Errorf("%+v", s)
 	}
--- a/internal/mysql/claims.go
+++ b/internal/mysql/claims.go
@@ -55,6 +55,7 @@
 			f.Claims.Ended(name, claim.Never, nil)
 		}
 		done(f.told(v))
+		f.forget(name) // the fleet remembers, and may know more by the next try
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -207,7 +208,13 @@
 		return nil, nil, err
 	}
 	if cfg.PeerListen != "" && (s.MayTell || cfg.Group.On) {
-		if n.link, err = peer.Open(sharing(share), cfg.PeerListen, cfg.Peers, cfg.PeersAll, s.Self); err != nil {
+		// Two processes of one name would each vote and acknowledge with a memory of
+		// its own: where the state is the fleet's, the link is held by one.
+		alone := cfg.Group.On && cfg.Group.Replica.On
+		if n.link, err = peer.Open(sharing(share && !alone), cfg.PeerListen, cfg.Peers, cfg.PeersAll, s.Self); err != nil {
+			if alone && errors.Is(err, syscall.EADDRINUSE) {
+				err = fmt.Errorf("%v: another process of this name? With [replica] on, end it first", err)
+			}
 			return nil, nil, fmt.Errorf("peers: %v", err)
 		}
 		n.loop.tell = n.tell
