--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -5,10 +5,10 @@
 	"encoding/hex"
 	"math"
 	"math/rand/v2"
-	"net/netip"
 	"slices"
 
 	"dewhill/internal/digest"
+	"dewhill/internal/member"
 )
 
 // Key is a load's id, hashed.
@@ -62,11 +62,8 @@
 	fitHead   = 16 // bytes of a message before its records
 )
 
-// Peer is another front end: a number of the list, or below 0 an address.
-type Peer struct {
-	Num  int
-	Addr netip.AddrPort
-}
+// Peer is another front end.
+type Peer = member.Peer
 
 // Options say who this front end is.
 type Options struct {
@@ -97,12 +94,8 @@
 		From Peer
 		Msg  []byte
 	}
-	// Members tells who is held alive, who all are, without this front end, and how
-	// many make up the fleet with it.
-	Members struct {
-		Alive, All []Peer
-		Size       int
-	}
+	// Members tells who is there.
+	Members member.Present
 	// Claim asks whether this front end may run a load. Again: its client says that
 	// it tried before.
 	Claim struct {
--- a/internal/claim/sim_test.go
+++ b/internal/claim/sim_test.go
@@ -1,7 +1,6 @@
 package claim
 
 import (
-	"container/heap"
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
@@ -13,14 +12,15 @@
 	"pgregory.net/rapid"
 
 	"dewhill/internal/testprog"
+	"dewhill/internal/vclock"
 )
 
 // fleet plays front ends that claim loads, on a simulated network and a virtual
 // clock, in one goroutine. Clients try each load again and again through front
 // ends drawn by the seed until they have a final answer.
 type fleet struct {
-	seed   uint64
-	now    float64
+	seed uint64
+	vclock.Clock
 	rng    *rand.Rand
 	o      Options
 	all    []*Claims
@@ -30,9 +30,7 @@
 	loss   float64
 	disks  bool
 	disk   []map[string][]byte
-	queue  events
-	seq    int
-	woken  []float64
+	alarms []*vclock.Alarm
 	waits  map[uint64]func(Verdict)
 	ticket uint64
 	ran    map[Key][]string // who ran it
@@ -40,31 +38,10 @@
 	took   []float64
 }
 
-type simEvent struct {
-	at  float64
-	seq int
-	do  func()
-}
-
-type events []simEvent
-
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(simEvent)) }
-func (q *events) Pop() (x any) {
-	old := *q
-	x = old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
-}
-
 func newFleet(seed uint64, size int, disks bool, o Options) *fleet {
 	f := &fleet{seed: seed, rng: rand.New(rand.NewPCG(seed, 2)), o: o, all: make([]*Claims, size), paused: make([]bool, size),
 		kept: make([][]func(), size), side: make([]int, size), disks: disks, disk: make([]map[string][]byte, size),
-		woken: make([]float64, size), waits: map[uint64]func(Verdict){}, ran: map[Key][]string{}}
+		alarms: make([]*vclock.Alarm, size), waits: map[uint64]func(Verdict){}, ran: map[Key][]string{}}
 	for i := range size {
 		if f.disk[i] = nil; disks {
 			f.disk[i] = map[string][]byte{}
@@ -74,18 +51,23 @@
 	return f
 }
 
-func (f *fleet) after(ms float64, do func()) {
-	f.seq++
-	heap.Push(&f.queue, simEvent{f.now + ms, f.seq, do})
-}
-
 func (f *fleet) birth(i int) {
 	if f.all[i] != nil {
 		return
 	}
 	o := f.o
 	o.Author, o.Lasting, o.Known = f.rng.Uint64()|1, f.disks, f.disk[i]
-	f.all[i] = New(o, f.rng.Uint64())
+	c := New(o, f.rng.Uint64())
+	f.all[i] = c
+	f.alarms[i] = vclock.NewAlarm(&f.Clock, c.Next, func() {
+		if f.all[i] == c {
+			f.in(i, func() {
+				if f.all[i] == c {
+					f.apply(i, Woke{})
+				}
+			})
+		}
+	})
 	f.members(i)
 	f.apply(i, Start{})
 	f.seen()
@@ -107,7 +89,7 @@
 
 // seen has the views follow what is, some seconds late: they are wrong meanwhile.
 func (f *fleet) seen() {
-	f.after(500+3000*f.rng.Float64(), func() {
+	f.After(500+3000*f.rng.Float64(), func() {
 		for i := range f.all {
 			f.members(i)
 		}
@@ -132,7 +114,7 @@
 
 func (f *fleet) apply(i int, ev Event) {
 	c := f.all[i]
-	out := c.Apply(f.now, ev)
+	out := c.Apply(f.Now, ev)
 	verdicts := slices.Clone(out.Verdicts)
 	for _, s := range out.Sends {
 		if len(s.Msg) > 250 {
@@ -151,11 +133,11 @@
 			if f.rng.IntN(50) == 0 {
 				late += 3000 * f.rng.Float64() // longer than a round
 			}
-			f.after(late, func() { f.in(to, func() { f.apply(to, Heard{Peer{Num: i}, s.Msg}) }) })
+			f.After(late, func() { f.in(to, func() { f.apply(to, Heard{Peer{Num: i}, s.Msg}) }) })
 		}
 	}
 	for _, k := range slices.Clone(out.Keeps) {
-		f.after(5, func() {
+		f.After(5, func() {
 			if f.all[i] == c {
 				if f.disk[i][k.Name] = k.Record; k.Record == nil {
 					delete(f.disk[i], k.Name)
@@ -164,7 +146,7 @@
 			}
 		})
 	}
-	f.arm(i)
+	f.alarms[i].Set()
 	for _, v := range verdicts {
 		if w := f.waits[v.Ticket]; w != nil {
 			delete(f.waits, v.Ticket)
@@ -173,30 +155,6 @@
 	}
 }
 
-// arm wakes a process when it asks to be.
-func (f *fleet) arm(i int) {
-	c := f.all[i]
-	next := c.Next()
-	if f.woken[i] > f.now && next >= f.woken[i] {
-		return // it wakes before, and is armed again
-	}
-	f.woken[i] = next
-	f.after(next-f.now, func() {
-		if f.all[i] != c {
-			return
-		}
-		f.in(i, func() {
-			switch f.woken[i] = 0; {
-			case f.all[i] != c:
-			case c.Next() <= f.now:
-				f.apply(i, Woke{})
-			default:
-				f.arm(i)
-			}
-		})
-	})
-}
-
 // in does something in a process: at once, once it goes on, or not at all.
 func (f *fleet) in(i int, do func()) {
 	switch {
@@ -208,18 +166,6 @@
 	}
 }
 
-func (f *fleet) run(ms float64) {
-	for end := f.now + ms; ; {
-		if len(f.queue) == 0 || f.queue[0].at > end {
-			f.now = end
-			return
-		}
-		e := heap.Pop(&f.queue).(simEvent)
-		f.now = e.at
-		e.do()
-	}
-}
-
 // load is a client's load, tried until it has a final answer.
 type load struct {
 	key     Key
@@ -249,8 +195,8 @@
 	i := f.rng.IntN(len(f.all))
 	l.tries++
 	next := func() {
-		if f.now < until && l.answer == "" {
-			f.after(20+400*f.rng.Float64(), func() { f.try(l, history, until) })
+		if f.Now < until && l.answer == "" {
+			f.After(20+400*f.rng.Float64(), func() { f.try(l, history, until) })
 		}
 	}
 	if f.all[i] == nil || f.paused[i] {
@@ -260,7 +206,7 @@
 	c := f.all[i]
 	f.ticket++
 	who := fmt.Sprintf("n%d#%d", i, f.ticket)
-	call := f.now
+	call := f.Now
 	heard := false
 	hear := func(answer string) { // the client hears, or has given this try up
 		if heard {
@@ -271,11 +217,11 @@
 		}
 		next()
 	}
-	f.after(4000, func() { hear("") })
+	f.After(4000, func() { hear("") })
 	f.waits[f.ticket] = func(v Verdict) {
 		if history != nil && (v.What == Granted || v.What == InFlight || v.What == Outcome || v.What == MayHave) {
 			*history = append(*history, porcupine.Operation{ClientId: len(*history), Input: claimed{l.key, who, ""}, Output: v.What == Granted,
-				Call: int64(call * 1000), Return: int64(f.now * 1000)})
+				Call: int64(call * 1000), Return: int64(f.Now * 1000)})
 		}
 		if history != nil && v.What == Refused {
 			later(history, claimed{l.key, who, "maybe"}, call)
@@ -284,7 +230,7 @@
 		switch v.What {
 		case Granted:
 			f.took = append(f.took, v.Ms)
-			f.after(30*f.rng.Float64(), func() {
+			f.After(30*f.rng.Float64(), func() {
 				f.in(i, func() { // it was paused with the grant in hand, and goes on
 					if f.all[i] != c {
 						return
@@ -298,7 +244,7 @@
 						return
 					}
 					f.ran[l.key] = append(f.ran[l.key], who)
-					f.after(300*f.rng.Float64(), func() {
+					f.After(300*f.rng.Float64(), func() {
 						f.in(i, func() {
 							if f.all[i] == c {
 								f.apply(i, Done{Key: l.key, End: Happened, Out: []byte("of " + who)})
@@ -321,7 +267,7 @@
 			hear("")
 		}
 	}
-	f.apply(i, Claim{Key: l.key, Of: l.of, Ticket: f.ticket, GiveUp: f.now + 3000, Again: l.again && l.tries > 1})
+	f.apply(i, Claim{Key: l.key, Of: l.of, Ticket: f.ticket, GiveUp: f.Now + 3000, Again: l.again && l.tries > 1})
 }
 
 func keyOf(k int) (key Key) {
@@ -335,19 +281,19 @@
 // from what ran.
 func night(seed uint64, size, loads int, disks bool, o Options) (f *fleet, wrong []string) {
 	f = newFleet(seed, size, disks, o)
-	f.run(10_000) // without memory they wait
+	f.Run(10_000) // without memory they wait
 	f.loss = 0.1 * f.rng.Float64()
 	var all []*load
 	const faultsFor = 20_000
-	end := f.now + faultsFor
+	end := f.Now + faultsFor
 	for k := range loads {
 		l := &load{key: keyOf(k), of: uint64(k) + 7}
 		all = append(all, l)
-		f.after(faultsFor*f.rng.Float64(), func() { f.try(l, nil, end+60_000) })
+		f.After(faultsFor*f.rng.Float64(), func() { f.try(l, nil, end+60_000) })
 	}
 	few := (size - 1) / 2
 	for range 6 { // a minority is killed, paused or cut off at a time
-		f.after(faultsFor*f.rng.Float64(), func() {
+		f.After(faultsFor*f.rng.Float64(), func() {
 			who := f.rng.Perm(size)[:1+f.rng.IntN(few)]
 			down := 0
 			for i := range f.all {
@@ -364,20 +310,20 @@
 				switch f.rng.IntN(3) {
 				case 0:
 					f.death(i)
-					f.after(back, func() { f.birth(i) })
+					f.After(back, func() { f.birth(i) })
 				case 1:
 					f.paused[i] = true
 					f.seen()
-					f.after(back, func() { f.resume(i); f.seen() })
+					f.After(back, func() { f.resume(i); f.seen() })
 				case 2:
 					f.side[i] = 1 + f.rng.IntN(2)
 					f.seen()
-					f.after(back, func() { f.side[i] = 0; f.seen() })
+					f.After(back, func() { f.side[i] = 0; f.seen() })
 				}
 			}
 		})
 	}
-	f.run(end + 61_000 - f.now)
+	f.Run(end + 61_000 - f.Now)
 	for _, l := range all {
 		ran := f.ran[l.key]
 		switch {
@@ -423,12 +369,12 @@
 func TestNoVoteWithoutMemory(t *testing.T) {
 	for _, off := range []bool{false, true} {
 		f := newFleet(5, 3, false, Options{Amnesia: off})
-		f.run(10_000)
+		f.Run(10_000)
 		ask := func(i int) (v Verdict) {
 			f.ticket++
 			f.waits[f.ticket] = func(got Verdict) { v = got }
-			f.apply(i, Claim{Key: keyOf(1), Of: 1, Ticket: f.ticket, GiveUp: f.now + 2500})
-			f.run(3000)
+			f.apply(i, Claim{Key: keyOf(1), Of: 1, Ticket: f.ticket, GiveUp: f.Now + 2500})
+			f.Run(3000)
 			return v
 		}
 		f.side = []int{0, 0, 1}
@@ -439,7 +385,7 @@
 		f.death(1)
 		f.birth(1)
 		f.side = []int{0, 0, 0}
-		f.run(10_000)
+		f.Run(10_000)
 		if v := ask(2); (v.What == Granted) != off || v.Ticket != 2 {
 			t.Errorf("without the guard %v: %+v", off, v)
 		}
@@ -485,19 +431,19 @@
 func TestClaimsAreLinearizable(t *testing.T) {
 	play := func(seed uint64, o Options) bool {
 		f := newFleet(seed, 5, false, o)
-		f.run(10_000)
+		f.Run(10_000)
 		f.loss = 0.1
 		var history []porcupine.Operation
-		end := f.now + 20_000
+		end := f.Now + 20_000
 		for k := range 40 {
 			for range 4 { // clients with one id
 				l := &load{key: keyOf(k), of: 9}
-				f.after(8000*f.rng.Float64(), func() { f.try(l, &history, end) })
+				f.After(8000*f.rng.Float64(), func() { f.try(l, &history, end) })
 			}
 		}
-		f.after(3000, func() { f.side = []int{0, 0, 0, 1, 1}; f.seen() })
-		f.after(9000, func() { f.side = []int{0, 0, 0, 0, 0}; f.seen() })
-		f.run(30_000)
+		f.After(3000, func() { f.side = []int{0, 0, 0, 1, 1}; f.seen() })
+		f.After(9000, func() { f.side = []int{0, 0, 0, 0, 0}; f.seen() })
+		f.Run(30_000)
 		return porcupine.CheckOperationsTimeout(register, history, 20*time.Second) == porcupine.Ok
 	}
 	for seed := uint64(1); seed <= 10; seed++ {
@@ -517,12 +463,12 @@
 // left claimed by it.
 func TestAnswers(t *testing.T) {
 	f := newFleet(3, 5, false, Options{})
-	f.run(10_000)
+	f.Run(10_000)
 	ask := func(i int, k int, of uint64, again bool) (v Verdict) {
 		f.ticket++
 		f.waits[f.ticket] = func(got Verdict) { v = got }
-		f.apply(i, Claim{Key: keyOf(k), Of: of, Ticket: f.ticket, GiveUp: f.now + 2500, Again: again})
-		f.run(3000)
+		f.apply(i, Claim{Key: keyOf(k), Of: of, Ticket: f.ticket, GiveUp: f.Now + 2500, Again: again})
+		f.Run(3000)
 		return v
 	}
 	if v := ask(0, 1, 5, true); v.What != Unknown {
@@ -546,17 +492,17 @@
 		t.Errorf("on the smaller side: %+v", v)
 	}
 	f.side = make([]int, 5)
-	f.run(3000)
+	f.Run(3000)
 	if v := ask(1, 2, 5, false); v.What != Granted {
 		t.Errorf("after the healing: %+v", v)
 	}
 	f.death(1)
-	f.run(5000)
+	f.Run(5000)
 	if v := ask(0, 2, 5, false); v.What != MayHave {
 		t.Errorf("its owner is gone: %+v", v)
 	}
 	f.birth(1)
-	f.run(10_000)
+	f.Run(10_000)
 	if c := f.all[1]; !c.Voter() || c.Counter.Amnesia != 0 || c.Digest() != f.all[0].Digest() {
 		t.Errorf("one without memory votes: %v, holds what the others do: %v", c.Voter(), c.Digest() == f.all[0].Digest())
 	}
@@ -578,7 +524,7 @@
 	proposal := (&message{verb: accept, author: 5, key: keyOf(3), ballot: Ballot{3, 4}, value: v}).append(nil)
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(1, 3, false, Options{})
-		f.run(8000)
+		f.Run(8000)
 		for range 4 {
 			f.apply(0, Heard{Peer{Num: 1}, testprog.Garbled(t, string(text), string(record), string(proposal))})
 		}
@@ -589,12 +535,12 @@
 // and the network's together.
 func BenchmarkClaim(b *testing.B) {
 	f := newFleet(1, 5, false, Options{})
-	f.run(10_000)
+	f.Run(10_000)
 	b.ReportAllocs()
 	k := 0
 	for b.Loop() {
 		k++
-		f.apply(k%5, Claim{Key: keyOf(k), Of: 1, Ticket: uint64(k), GiveUp: f.now + 1000})
-		f.run(150)
+		f.apply(k%5, Claim{Key: keyOf(k), Of: 1, Ticket: uint64(k), GiveUp: f.Now + 1000})
+		f.Run(150)
 	}
 }
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -12,6 +12,7 @@
 	"dewhill/internal/claim"
 	"dewhill/internal/member"
 	"dewhill/internal/peer"
+	"dewhill/internal/replica"
 )
 
 // Host is the loop that the group lives in: all its methods are called there,
@@ -58,7 +59,7 @@
 	view   *member.View
 	damp   *member.Damper
 	counts func([]bool) // hears who counts
-	armed  float64      // when the loop wakes the view; 0: not at all
+	alarm  alarm
 	left   bool
 	logged int
 	memory Memory  // nil: none
@@ -100,7 +101,7 @@
 	g.apply(member.Start{})
 	if g.shared != nil {
 		g.shared.start()
-		g.loads.members()
+		g.loads.apply(claim.Members(g.view.Present()))
 		g.loads.apply(claim.Start{})
 	}
 	return g
@@ -135,29 +136,33 @@
 	for _, s := range out.Sends {
 		g.Send(peer.Fleet, s.Num, s.To, s.Msg)
 	}
-	if next := g.view.Next(); !g.left && !math.IsInf(next, 1) && (g.armed == 0 || next < g.armed) {
-		g.armed = next
-		g.host.After(next-g.host.Now(), g.wake)
-	}
+	g.alarm.set(g, g.view.Next(), func() { g.apply(member.Woke{}) })
 }
 
 // tellMembers tells what stands on the view who is there.
 func (g *Group) tellMembers() {
 	if g.shared != nil {
-		g.shared.members()
-		g.loads.members()
+		g.shared.apply(replica.Members(g.view.Present()))
+		g.loads.apply(claim.Members(g.view.Present()))
 	}
 }
 
-// wake wakes the view when it asked to be. The loop can't take a timer back, so
-// one set for an earlier time may still come.
-func (g *Group) wake() {
-	now := g.host.Now()
-	if g.left || now < g.armed {
+// alarm wakes a state machine when it asked to be. The loop can't take a timer
+// back, so one set for an earlier time may still come.
+type alarm struct{ at float64 } // 0: not set
+
+func (a *alarm) set(g *Group, next float64, wake func()) {
+	if g.left || math.IsInf(next, 1) || a.at != 0 && next >= a.at {
 		return
 	}
-	g.armed = 0
-	g.apply(member.Woke{})
+	a.at = next
+	g.host.After(next-g.host.Now(), func() {
+		if g.left || a.at == 0 || g.host.Now() < a.at {
+			return
+		}
+		a.at = 0
+		wake()
+	})
 }
 
 // Send sends a body of a kind.
@@ -182,19 +187,26 @@
 		g.Count.OtherVersion++
 	case err != nil:
 		g.Count.Spoilt++
+	case g.left:
 	case kind == peer.Fleet:
-		if !g.left {
-			g.apply(member.Heard{Num: num, From: from, Msg: body})
-		}
+		g.apply(member.Heard{Num: num, From: from, Msg: body})
 	case kind == peer.Loads && g.loads != nil:
-		g.loads.heard(num, from, body)
+		g.loads.apply(claim.Heard{From: speaker(num, from), Msg: body})
 	case kind == peer.Replica && g.shared != nil:
-		g.shared.heard(num, from, body)
+		g.shared.apply(replica.Heard{From: speaker(num, from), Msg: body})
 	default:
 		g.Count.Foreign++
 	}
 }
 
+// speaker is who a datagram is from, to what stands on the view.
+func speaker(num int, from netip.AddrPort) member.Peer {
+	if num >= 0 {
+		from = netip.AddrPort{}
+	}
+	return member.Peer{Num: num, Addr: from}
+}
+
 // Leave tells the others that this front end ends. It goes on answering until
 // Close.
 func (g *Group) Leave() { g.apply(member.Leave{}) }
--- a/internal/group/loads.go
+++ b/internal/group/loads.go
@@ -1,12 +1,9 @@
 package group
 
 import (
-	"math"
 	"math/rand/v2"
-	"net/netip"
 
 	"dewhill/internal/claim"
-	"dewhill/internal/member"
 	"dewhill/internal/peer"
 )
 
@@ -15,7 +12,7 @@
 type loads struct {
 	g      *Group
 	c      *claim.Claims
-	armed  float64
+	alarm  alarm
 	asked  map[uint64]func(claim.Verdict)
 	ticket uint64
 	voter  bool
@@ -58,45 +55,7 @@
 			then(v)
 		}
 	}
-	if next := l.c.Next(); !l.g.left && !math.IsInf(next, 1) && (l.armed == 0 || next < l.armed) {
-		l.armed = next
-		l.g.host.After(next-l.g.host.Now(), l.wake)
-	}
-}
-
-func (l *loads) wake() {
-	if l.g.left || l.g.host.Now() < l.armed {
-		return
-	}
-	l.armed = 0
-	l.apply(claim.Woke{})
-}
-
-func (l *loads) heard(num int, from netip.AddrPort, body []byte) {
-	if l.g.left {
-		return
-	}
-	p := claim.Peer{Num: num}
-	if num < 0 {
-		p.Addr = from
-	}
-	l.apply(claim.Heard{From: p, Msg: body})
-}
-
-// members passes on who is there.
-func (l *loads) members() {
-	m := claim.Members{Size: l.g.view.Size()}
-	for _, o := range l.g.others() {
-		p := claim.Peer{Num: o.Num}
-		if o.Num < 0 {
-			p.Addr = o.Addr
-		}
-		m.All = append(m.All, p)
-		if o.State == member.Alive || o.State == member.Suspect {
-			m.Alive = append(m.Alive, p)
-		}
-	}
-	l.apply(m)
+	l.alarm.set(l.g, l.c.Next(), func() { l.apply(claim.Woke{}) })
 }
 
 // Claim asks whether this front end may run a load, within ms. then hears once.
--- a/internal/group/shared.go
+++ b/internal/group/shared.go
@@ -3,13 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math"
 	"math/rand/v2"
-	"net/netip"
 	"time"
 
 	"dewhill/internal/claim"
-	"dewhill/internal/member"
 	"dewhill/internal/peer"
 	"dewhill/internal/replica"
 )
@@ -30,7 +27,7 @@
 	r        *replica.Replica
 	machines Machines
 	keep     string
-	armed    float64
+	alarm    alarm
 	ready    bool
 	asked    map[uint64]chan<- Answer
 	ticket   uint64
@@ -63,7 +60,7 @@
 
 // start begins, once the view has.
 func (c *shared) start() {
-	c.members()
+	c.apply(replica.Members(c.g.view.Present()))
 	c.apply(replica.Start{})
 }
 
@@ -95,55 +92,7 @@
 		c.g.host.Logf("state: caught up, %d machines known, gave up waiting: %v", len(c.r.All()), c.r.Counter.GaveUpCatchingUp > 0)
 		c.machines.CaughtUp()
 	}
-	if next := c.r.Next(); !c.g.left && !math.IsInf(next, 1) && (c.armed == 0 || next < c.armed) {
-		c.armed = next
-		c.g.host.After(next-c.g.host.Now(), c.wake)
-	}
-}
-
-func (c *shared) wake() {
-	if c.g.left || c.g.host.Now() < c.armed {
-		return
-	}
-	c.armed = 0
-	c.apply(replica.Woke{})
-}
-
-func (c *shared) heard(num int, from netip.AddrPort, body []byte) {
-	if c.g.left {
-		return
-	}
-	p := replica.Peer{Num: num}
-	if num < 0 {
-		p.Addr = from
-	}
-	c.apply(replica.Heard{From: p, Msg: body})
-}
-
-// members passes on who is there.
-func (c *shared) members() {
-	m := replica.Members{Size: c.g.view.Size()}
-	for _, o := range c.g.others() {
-		p := replica.Peer{Num: o.Num}
-		if o.Num < 0 {
-			p.Addr = o.Addr
-		}
-		m.All = append(m.All, p)
-		if o.State == member.Alive || o.State == member.Suspect {
-			m.Alive = append(m.Alive, p)
-		}
-	}
-	c.apply(m)
-}
-
-// others lists the members of the view but this front end and those that left.
-func (g *Group) others() (list []member.Member) {
-	for _, o := range g.view.Members() {
-		if o.State != member.Left && (o.Num < 0 || o.Num != g.who.Self) && (o.Num >= 0 || o.Name != g.who.Name) {
-			list = append(list, o)
-		}
-	}
-	return list
+	c.alarm.set(c.g, c.r.Next(), func() { c.apply(replica.Woke{}) })
 }
 
 // need is how many must hold a word.
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -105,6 +105,38 @@
 	Msg []byte
 }
 
+// Peer is another member as what stands on the view speaks of it: a number of the
+// list, or below 0 an address.
+type Peer struct {
+	Num  int
+	Addr netip.AddrPort
+}
+
+// Present is who is there: who is held alive, who all are, both without this front
+// end, and how many make up the fleet with it.
+type Present struct {
+	Alive, All []Peer
+	Size       int
+}
+
+// Present tells who is there. Those that left are not.
+func (v *View) Present() (p Present) {
+	p.Size = v.Size()
+	for _, e := range v.all {
+		if e == v.self || e.State == Left {
+			continue
+		}
+		o := Peer{Num: e.Num}
+		if e.Num < 0 {
+			o.Addr = e.Addr
+		}
+		if p.All = append(p.All, o); e.live >= 0 {
+			p.Alive = append(p.Alive, o)
+		}
+	}
+	return p
+}
+
 // Change is a member's new state.
 type Change struct {
 	Member
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -6,10 +6,10 @@
 	"maps"
 	"math"
 	"math/rand/v2"
-	"net/netip"
 	"slices"
 
 	"dewhill/internal/digest"
+	"dewhill/internal/member"
 )
 
 // Times are the protocol's times in ms, and its budget.
@@ -38,11 +38,8 @@
 	slowAfter = 2000.0  // ms from which on it is sent half as often
 )
 
-// Peer is another front end: a number of the list, or below 0 an address.
-type Peer struct {
-	Num  int
-	Addr netip.AddrPort
-}
+// Peer is another front end.
+type Peer = member.Peer
 
 // Options say who this front end is.
 type Options struct {
@@ -72,12 +69,8 @@
 		From Peer
 		Msg  []byte
 	}
-	// Members tells who is held alive, and who all are, without this front end,
-	// and how many make up the fleet with it.
-	Members struct {
-		Alive, All []Peer
-		Size       int
-	}
+	// Members tells who is there.
+	Members member.Present
 	// Speak is an operator's word. Need is how many are to hold it; the answer
 	// comes as Done with the ticket. Wall is the time in Unix ms.
 	Speak struct {
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -1,26 +1,25 @@
 package replica
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
+
+	"dewhill/internal/vclock"
 )
 
 // fleet plays copies on a simulated network and a virtual clock, in one
 // goroutine. Who is alive is told by an oracle, 3 s late, as the view would.
 type fleet struct {
-	seed    uint64
-	now     float64
+	seed uint64
+	vclock.Clock
 	rng     *rand.Rand
 	reps    []*Replica
 	side    []int // who can hear whom: those of one side
 	loss    float64
 	o       Options
-	queue   events
-	seq     int
-	woken   []float64
+	alarms  []*vclock.Alarm
 	disk    []map[string][]byte // nil: none
 	late    float64             // ms that a disk takes
 	done    []Done
@@ -29,45 +28,25 @@
 	bytes   int
 }
 
-type simEvent struct {
-	at  float64
-	seq int
-	do  func()
-}
-
-type events []simEvent
-
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(simEvent)) }
-func (q *events) Pop() (x any) {
-	old := *q
-	x = old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
-}
-
 func newFleet(seed uint64, size int, o Options) *fleet {
 	f := &fleet{seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), reps: make([]*Replica, size), side: make([]int, size), o: o,
-		woken: make([]float64, size), disk: make([]map[string][]byte, size)}
+		alarms: make([]*vclock.Alarm, size), disk: make([]map[string][]byte, size)}
 	for i := range size {
 		f.birth(i)
 	}
 	return f
 }
 
-func (f *fleet) after(ms float64, do func()) {
-	f.seq++
-	heap.Push(&f.queue, simEvent{f.now + ms, f.seq, do})
-}
-
 func (f *fleet) birth(i int) {
 	o := f.o
 	o.Name, o.Author, o.Lasting, o.Known = fmt.Sprint("n", i), f.rng.Uint64()|1, f.disk[i] != nil, f.disk[i]
-	f.reps[i] = New(o, f.rng.Uint64())
+	r := New(o, f.rng.Uint64())
+	f.reps[i] = r
+	f.alarms[i] = vclock.NewAlarm(&f.Clock, r.Next, func() {
+		if f.reps[i] == r {
+			f.apply(i, Woke{})
+		}
+	})
 	f.tell(i)
 	f.apply(i, Start{})
 }
@@ -91,7 +70,7 @@
 
 // seen has the views follow what is.
 func (f *fleet) seen() {
-	f.after(3000, func() {
+	f.After(3000, func() {
 		for i := range f.reps {
 			if f.reps[i] != nil {
 				f.tell(i)
@@ -109,7 +88,7 @@
 
 func (f *fleet) apply(i int, ev Event) {
 	r := f.reps[i]
-	out := r.Apply(f.now, ev)
+	out := r.Apply(f.Now, ev)
 	for _, c := range out.Changed {
 		if f.changed != nil {
 			f.changed(i, c)
@@ -126,59 +105,27 @@
 		if f.side[to] != f.side[i] || f.rng.Float64() < f.loss {
 			continue
 		}
-		f.after(1.7+29*f.rng.Float64(), func() {
+		f.After(1.7+29*f.rng.Float64(), func() {
 			if f.reps[to] != nil && f.side[to] == f.side[i] {
 				f.apply(to, Heard{Peer{Num: i}, s.Msg})
 			}
 		})
 	}
 	for _, k := range slices.Clone(out.Keeps) {
-		f.after(f.late, func() {
+		f.After(f.late, func() {
 			if f.reps[i] == r { // else it died before
 				f.disk[i][k.Name] = k.Words
 				f.apply(i, Kept{k.Token})
 			}
 		})
 	}
-	f.arm(i)
-}
-
-// arm wakes a copy when it asks to be.
-func (f *fleet) arm(i int) {
-	r := f.reps[i]
-	next := r.Next()
-	if f.woken[i] > f.now && next >= f.woken[i] {
-		return // it wakes before, and is armed again
-	}
-	f.woken[i] = next
-	f.after(next-f.now, func() {
-		if f.reps[i] != r {
-			return
-		}
-		if f.woken[i] = 0; r.Next() <= f.now {
-			f.apply(i, Woke{})
-		} else {
-			f.arm(i)
-		}
-	})
-}
-
-func (f *fleet) run(ms float64) {
-	for end := f.now + ms; ; {
-		if len(f.queue) == 0 || f.queue[0].at > end {
-			f.now = end
-			return
-		}
-		e := heap.Pop(&f.queue).(simEvent)
-		f.now = e.at
-		e.do()
-	}
+	f.alarms[i].Set()
 }
 
 // equal runs until all copies have one digest, and returns how long that took;
 // below 0: not within the time.
 func (f *fleet) equal(within float64) float64 {
-	for from := f.now; f.now < from+within; f.run(50) {
+	for from := f.Now; f.Now < from+within; f.Run(50) {
 		all := map[uint64]bool{}
 		for _, r := range f.reps {
 			if r != nil {
@@ -186,14 +133,14 @@
 			}
 		}
 		if len(all) == 1 {
-			return f.now - from
+			return f.Now - from
 		}
 	}
 	return -1
 }
 
 func (f *fleet) say(i int, engine string, out bool, need int) {
-	f.apply(i, Speak{Key: Key{Engine, engine}, Out: out, Need: need, Wall: 1.7e12 + f.now, Ticket: uint64(len(f.done))})
+	f.apply(i, Speak{Key: Key{Engine, engine}, Out: out, Need: need, Wall: 1.7e12 + f.Now, Ticket: uint64(len(f.done))})
 }
 
 // history plays partitions with words on all sides and returns what is wrong in
@@ -201,7 +148,7 @@
 // spoke, not from what words carry.
 func history(seed uint64, size int, o Options) (wrong string, took float64) {
 	f := newFleet(seed, size, o)
-	f.run(3000)
+	f.Run(3000)
 	known := map[Dot]map[Dot]bool{}
 	words := map[string]map[Dot]bool{} // by engine: out
 	for range 3 {
@@ -209,7 +156,7 @@
 		parts := 1 + f.rng.IntN(3)
 		f.split(func(int) int { return f.rng.IntN(parts) })
 		for range 1 + f.rng.IntN(8) {
-			f.run(2000 * f.rng.Float64())
+			f.Run(2000 * f.rng.Float64())
 			i, engine, out := f.rng.IntN(size), fmt.Sprint("s-", f.rng.IntN(3)), f.rng.IntN(2) == 0
 			k := Key{Engine, engine}
 			had := map[Dot]bool{}
@@ -234,7 +181,7 @@
 			}
 		}
 		f.split(func(int) int { return 0 })
-		f.run(1000 * f.rng.Float64())
+		f.Run(1000 * f.rng.Float64())
 	}
 	if took = f.equal(15_000); took < 0 {
 		return "copies differ 15 s after the healing", took
@@ -300,20 +247,20 @@
 				f.birth(i)
 			}
 		}
-		f.run(6000)
+		f.Run(6000)
 		gone := f.rng.Perm(9)[:4]
 		for _, i := range gone {
 			f.death(i)
 		}
 		f.seen()
-		f.run(4000)
+		f.Run(4000)
 		speaker := 0
 		for f.reps[speaker] == nil {
 			speaker++
 		}
 		f.loss = 0.2
 		f.say(speaker, "s-1", true, 5)
-		f.run(3500)
+		f.Run(3500)
 		if n := len(f.done); n != 1 || !f.done[0].OK {
 			t.Fatalf("seed %d: %+v", seed, f.done)
 		}
@@ -334,12 +281,12 @@
 		}
 		f.seen()
 		for range 400 {
-			f.run(10)
+			f.Run(10)
 			for i := range f.reps {
 				check(i)
 			}
 		}
-		f.run(10_000)
+		f.Run(10_000)
 		for i, r := range f.reps {
 			if !r.Ready() || !r.IsOut(Key{Engine, "s-1"}) {
 				t.Errorf("seed %d: front end %d is ready: %v, holds %+v", seed, i, r.Ready(), r.All())
@@ -360,38 +307,38 @@
 // What a returning copy costs to bring up to date, and one that lacks nothing.
 func TestCostOfCatchingUp(t *testing.T) {
 	f := newFleet(1, 16, Options{})
-	f.run(6000)
+	f.Run(6000)
 	for k := range 400 {
 		f.say(k%16, fmt.Sprintf("s-%04x", k), k%2 == 0, 1)
-		f.run(20)
+		f.Run(20)
 	}
 	if f.equal(20_000) < 0 {
 		t.Fatal("copies differ")
 	}
-	f.run(20_000)
+	f.Run(20_000)
 	rest := f.bytes
-	f.run(30_000)
+	f.Run(30_000)
 	rest = f.bytes - rest
 	f.death(3)
 	f.seen()
-	f.run(4000)
+	f.Run(4000)
 	for k := range 200 {
 		f.say((4+k%12)%16, fmt.Sprintf("s-%04x", k), k%2 != 0, 1)
-		f.run(20)
+		f.Run(20)
 	}
-	f.run(30_000)
+	f.Run(30_000)
 	full := 0
 	for _, h := range f.reps[0].All() {
 		full += len(appendEntry(nil, h.Key, &h.Word))
 	}
 	f.birth(3)
-	sent, bytes, from := f.sent, f.bytes, f.now
-	for !f.reps[3].Ready() && f.now < from+10_000 {
-		f.run(5)
+	sent, bytes, from := f.sent, f.bytes, f.Now
+	for !f.reps[3].Ready() && f.Now < from+10_000 {
+		f.Run(5)
 	}
 	r := f.reps[3]
 	t.Logf("at rest %.1f bytes a second each; 400 words from nothing in %.0f ms, %d datagrams, %d bytes (a plain copy: %d)",
-		float64(rest)/30/16, f.now-from, f.sent-sent, f.bytes-bytes, full)
+		float64(rest)/30/16, f.Now-from, f.sent-sent, f.bytes-bytes, full)
 	if !r.Ready() || r.Counter.GaveUpCatchingUp > 0 || r.Digest() != f.reps[0].Digest() {
 		t.Errorf("has not caught up: %+v", r.Counter)
 	}
