Claims: one without memory takes over promises too, or a late proposal overrides

Cause, found by reading and then caused: a front end promises a round, comes again without memory and votes for another claim; the first proposer's proposal, late by seconds, then overrides what was chosen, and that proposer takes its load for a claim of its own left behind. Ruled out for accepted values, which are taken over.

Change: promises are part of records, digests and comparisons; raising one is always safe. TestLateProposal fails without it (granted again) and passes with it.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -206,10 +206,11 @@
 			h = h*1099511628211 ^ uint64(c)
 		}
 		return digest.Mix(digest.Mix(r.Hash()+uint64(r.value.Gen)) ^ h)
-	case r.accepted.N == 0:
+	case r.accepted.N == 0 && r.promised.N == 0:
 		return 0
 	}
-	return digest.Mix(digest.Mix(r.Hash()^r.accepted.Author) + uint64(r.accepted.N)<<2)
+	// Promises are part of it: one without memory takes over those too.
+	return digest.Mix(r.Hash() ^ r.accepted.sum() ^ digest.Mix(r.promised.sum()))
 }
 
 // op is a change of a register under way.
@@ -360,7 +361,7 @@
 			for _, t := range m.records {
 				r := c.get(t.key)
 				c.adopt(r, t.accepted, t.value)
-				r.promised = t.promised
+				c.promise(r, t.promised)
 			}
 		}
 	}
@@ -416,6 +417,18 @@
 	return changed
 }
 
+// promise notes that no earlier round than one counts any more. Raising it, by
+// whatever is heard, is always safe.
+func (c *Claims) promise(r *record, b Ballot) (changed bool) {
+	if !b.over(r.promised) {
+		return false
+	}
+	was := r.Sum()
+	r.promised = b
+	c.tree.Change(r, was)
+	return true
+}
+
 // keep writes a record to the disk where there is one, and then goes on.
 func (c *Claims) keep(r *record, then func()) {
 	if !c.o.Lasting {
@@ -456,7 +469,7 @@
 	o.ballot, o.phase, o.round, o.at = Ballot{r.used, c.o.Author}, 1, c.now, c.now+c.o.Times.Again
 	o.votes, o.self, o.best, o.read = map[Peer]bool{}, false, Ballot{}, Value{}
 	if c.voter && !r.promised.over(o.ballot) {
-		r.promised = o.ballot
+		c.promise(r, o.ballot)
 		o.best, o.read = r.accepted, r.value
 		ballot := o.ballot
 		c.keep(r, func() { c.count(o, ballot, 1, nil) })
@@ -513,7 +526,7 @@
 	}
 	c.toAll(o)
 	if c.voter && !r.promised.over(o.ballot) {
-		r.promised = o.ballot
+		c.promise(r, o.ballot)
 		c.adopt(r, o.ballot, o.value)
 		ballot := o.ballot
 		c.keep(r, func() { c.count(o, ballot, 2, nil) })
--- a/internal/claim/doc.go
+++ b/internal/claim/doc.go
@@ -40,8 +40,10 @@
 // One that comes again without its disk must not vote as if it kept its word. It
 // waits Times.Quiet, longer than any round lasts (of which each proposer sees to
 // by its own clock: rates count, not times), and then takes over all that N -
-// majority + 1 voters hold, range by range. Any vote that it gave before was part
-// of a majority that shares one of them. Only where more than half of the fleet
+// majority + 1 voters hold, range by range, promises too. Any vote or promise that
+// it gave before was part of a majority that shares one of them. (Without the
+// promises a proposal that is late by seconds could override what was chosen with
+// the new process's vote: TestLateProposal.) Only where more than half of the fleet
 // have no memory at once, as at its first start, they vote with what is left;
 // that is counted, and tries that are marked as such are refused as unknown.
 //
--- a/internal/claim/sim_test.go
+++ b/internal/claim/sim_test.go
@@ -28,6 +28,7 @@
 	kept   [][]func() // what waits for a paused process
 	side   []int
 	loss   float64
+	hold   func(from, to int, msg []byte) bool // keeps a message back, or drops it
 	disks  bool
 	disk   []map[string][]byte
 	alarms []*vclock.Alarm
@@ -126,7 +127,7 @@
 			copies = 2
 		}
 		for range copies {
-			if f.side[to] != f.side[i] || f.rng.Float64() < f.loss {
+			if f.side[to] != f.side[i] || f.rng.Float64() < f.loss || f.hold != nil && f.hold(i, to, s.Msg) {
 				continue
 			}
 			late := 1.7 + 29*f.rng.Float64()
@@ -395,6 +396,53 @@
 	}
 }
 
+// A front end promises a round to one proposer and comes again without memory; its
+// new vote grants the load to another; and the first proposer's proposal, sent long
+// ago, comes now. What was chosen must stand, or the first one takes its load for a
+// claim of its own that was left behind.
+func TestLateProposal(t *testing.T) {
+	f := newFleet(8, 5, false, Options{})
+	f.Run(10_000)
+	ask := func(i int, ms float64) (v Verdict) {
+		v.What = 255
+		f.ticket++
+		f.waits[f.ticket] = func(got Verdict) { v = got }
+		f.apply(i, Claim{Key: keyOf(1), Of: 1, Ticket: f.ticket, GiveUp: f.Now + ms})
+		f.Run(ms + 100)
+		return v
+	}
+	var late [][]byte
+	f.all[0].get(keyOf(1)).used = 5 // its rounds come after those of others
+	f.hold = func(from, to int, msg []byte) bool {
+		if m, _ := decode(msg); from == 0 && m.verb == accept {
+			late = append(late, msg)
+			return true
+		}
+		return from == 0 && to > 2 // only 1 and 2 promise
+	}
+	ask(0, 400)
+	f.side = []int{1, 0, 0, 0, 0} // it is cut off
+	f.death(1)
+	f.birth(1)
+	f.Run(10_000)
+	if !f.all[1].Voter() || len(late) == 0 {
+		t.Fatalf("1 votes: %v; %d proposals are late", f.all[1].Voter(), len(late))
+	}
+	f.hold = func(from, to int, _ []byte) bool { return from == 2 || to == 2 } // who promised too
+	if v := ask(3, 2000); v.What != Granted {
+		t.Fatalf("%+v", v)
+	}
+	f.hold = nil
+	for _, to := range []int{1, 2, 3, 4} {
+		f.apply(to, Heard{Peer{Num: 0}, late[0]})
+	}
+	f.side = make([]int, 5)
+	f.Run(4000)
+	if v := ask(0, 2000); v.What == Granted {
+		t.Error("a load that runs is granted again")
+	}
+}
+
 // The register of an id: who has it. A claim is granted where nobody has it.
 var register = porcupine.Model{
 	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
--- a/internal/claim/sync.go
+++ b/internal/claim/sync.go
@@ -72,7 +72,8 @@
 				r = c.get(t.key)
 				r.born = c.now - float64(t.age)*1000
 			}
-			if c.adopt(r, t.accepted, t.value) {
+			changed := c.adopt(r, t.accepted, t.value)
+			if c.promise(r, t.promised) || changed {
 				c.keep(r, func() {})
 			}
 		}
@@ -98,7 +99,7 @@
 		c.say(from, reply)
 		return
 	}
-	r.promised = m.ballot
+	c.promise(r, m.ballot)
 	if m.verb == accept {
 		c.adopt(r, m.ballot, m.value)
 	}
@@ -223,10 +224,10 @@
 		b = nil
 	}
 	for _, r := range list {
-		if r.accepted.N == 0 && r.value.State != Ended {
+		if r.Sum() == 0 {
 			continue
 		}
-		e := (&told{key: r.key, accepted: r.accepted, value: r.value, age: c.ageOf(r)}).append(nil)
+		e := (&told{key: r.key, accepted: r.accepted, promised: r.promised, value: r.value, age: c.ageOf(r)}).append(nil)
 		if len(b)+len(e)+fitHead > c.o.Datagram {
 			flush()
 		}
--- a/internal/claim/wire.go
+++ b/internal/claim/wire.go
@@ -35,6 +35,8 @@
 
 func (b Ballot) over(o Ballot) bool { return b.N > o.N || b.N == o.N && b.Author > o.Author }
 
+func (b Ballot) sum() uint64 { return digest.Mix(b.Author + uint64(b.N)<<32) }
+
 // message is one datagram's worth. In protobuf terms:
 //
 //	message Message {
