--- a/internal/faultrig/fleet_test.go
+++ b/internal/faultrig/fleet_test.go
@@ -1,8 +1,10 @@
 package faultrig
 
 import (
+	"bufio"
 	"flag"
 	"fmt"
+	"net"
 	"os"
 	"strings"
 	"syscall"
@@ -156,9 +158,18 @@
 			r := Start(b, Options{Seed: 5, Size: 16, Engines: 4, Group: group})
 			f := r.Fronts[0]
 			time.Sleep(3 * time.Second) // its start is no request
+			c, err := net.Dial("tcp", f.Addr)
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer c.Close()
+			br := bufio.NewReader(c)
 			from, n := f.prog.CPU(), 0
 			for b.Loop() {
-				r.ask(f, fmt.Sprintf("%016x", n+1), "lookup")
+				fmt.Fprintf(c, "POST /api/v2/lookup HTTP/1.1\r\nHost: x\r\nReq-Id: %016x\r\nReq-Wait-Ms: 3000\r\nReq-Cost: 20\r\nContent-Length: 1\r\n\r\nq", n+1)
+				if status, _, _ := read(br); status != 200 {
+					b.Fatalf("status %d", status)
+				}
 				n++
 			}
 			b.ReportMetric(float64((f.prog.CPU()-from).Microseconds())/float64(n), "cpu-µs/request")
