Requests that are retried, refused or failed leave a trace with reason and attempts

- control.Reason on Refuse, Fail and Cancel; core.Closed with the history of all attempts; one line a request (10 a second, burst 100, what is left out is told).
- Counters: reasons, retries by how the attempt before ended, attempts given up, unknown words (logged with request and engine), the longest event of the loop and its stalls, the longest list change, engines listed.
- Engines' words were counted in a map that any garbage could grow; unknown ones share one.

--- a/control/api.go
+++ b/control/api.go
@@ -209,4 +209,5 @@
 	Message  []byte
 	Timer    string
 	Text     string
+	Reason   Reason // of Refuse, Fail and Cancel
 }
--- a/control/control.go
+++ b/control/control.go
@@ -1,5 +1,6 @@
 // The decisions of a gateway, to be read from top to bottom: the tuned values, events, choosing engines,
-// the controller, the queue, health, attempts, refusals, and the two guards of the seven rules.
+// the controller, the queue, health, attempts, refusals, and the guard of the rules on sends. Whether a
+// further attempt may be made is decided in retry.go.
 
 package control
 
@@ -504,7 +505,7 @@
 		g.relieve()
 	}
 	if g.endsSoon(r) { // a client's last try may come with no time left to be looked after
-		g.finish(r)
+		g.finish(r, NearDeadline)
 	}
 }
 
@@ -630,8 +631,10 @@
 
 // look checks one request and reports whether it is still to be kept.
 func (g *Gateway) look(r *request) bool {
-	if !r.streaming && g.endsSoon(r) || r.held && r.cl.dash && g.now > r.at+dashWait*r.cl.Aim {
-		g.finish(r)
+	if !r.streaming && g.endsSoon(r) {
+		g.finish(r, NearDeadline)
+	} else if r.held && r.cl.dash && g.now > r.at+dashWait*r.cl.Aim {
+		g.finish(r, NoPlaceInTime)
 	}
 	for i := range r.tries {
 		a := &r.tries[i]
@@ -653,14 +656,14 @@
 		}
 		if r.cl.dash && g.now > g.due(r) && float64(a.e.dash) >= g.mostDash(r, a.e) || g.spent(r, age, exp) {
 			// Late dashboards, behind a load or a lost answer, hold places that others need.
-			g.cancel(r, i)
-			g.finish(r)
+			g.cancel(r, i, NotWorthMore)
+			g.finish(r, NotWorthMore)
 		} else if g.stuck(r, a, age, exp) && g.mayRetry(r) {
-			g.cancel(r, i)
+			g.cancel(r, i, SilentAttempt)
 		} else if r.cl.Effect == Unsafe && age > lostAfter*exp+runawayPast && len(g.keys[r.key]) > 1 {
 			// Most likely its answer is lost, and others of its key wait for nothing.
-			g.cancel(r, i)
-			g.finish(r)
+			g.cancel(r, i, AnswerLost)
+			g.finish(r, AnswerLost)
 		}
 	}
 	if !r.over || r.out() > 0 {
@@ -749,10 +752,12 @@
 	if r.over || r.out() > 0 {
 		return
 	}
-	if g.mayRetry(r) && g.now+g.alone(r) < r.giveUp {
-		g.hold(r)
+	if why := g.retryBarrier(r); why != NoReason {
+		g.finish(r, why)
+	} else if g.now+g.alone(r) >= r.giveUp {
+		g.finish(r, NoTimeToRetry)
 	} else {
-		g.finish(r)
+		g.hold(r)
 	}
 }
 
@@ -812,7 +817,7 @@
 				if plan = slices.Delete(plan, worst, worst+1); victim != r {
 					ahead -= g.lasts(victim) * threads
 				}
-				g.finish(victim)
+				g.finish(victim, MissesAim)
 			}
 			if !r.over {
 				ahead += g.lasts(r) * threads
@@ -867,10 +872,10 @@
 	for _, p := range list[:min(len(list), max(0, int(float64(open)-most)))] {
 		for i := range p.r.tries {
 			if a := &p.r.tries[i]; a.out && !a.cancelled && g.s.MayCancel {
-				g.cancel(p.r, i)
+				g.cancel(p.r, i, PlacesFull)
 			}
 		}
-		g.finish(p.r)
+		g.finish(p.r, PlacesFull)
 	}
 }
 
@@ -902,24 +907,6 @@
 
 // The guards
 
-// mayRetry reports whether the rules leave room for a further attempt.
-func (g *Gateway) mayRetry(r *request) bool {
-	if r.over || r.streaming || (g.s.TryLimit > 0 && len(r.tries) >= g.s.TryLimit) ||
-		(r.cl.Effect == Unsafe && r.mayHaveRun()) || r.errors() >= errorsMost {
-		return false
-	}
-	return len(r.tries) == 0 || g.inBudget()
-}
-
-// inBudget reports whether a further attempt fits the rule's budget, and ours, which spares a short fleet.
-func (g *Gateway) inBudget() bool {
-	from := g.now - retryOver
-	fits := after(g.extra, from)+1 <= retrySpare+retryShare*after(g.taken, from)
-	from = g.now - g.s.BudgetWindow
-	return fits && (g.s.BudgetWindow <= 0 || after(g.extra, from-g.s.Tick-g.s.Slip)+1 <=
-		g.s.SpareTries+g.s.TriesPerReq*after(g.taken, from+g.s.Tick+g.s.Slip))
-}
-
 // maySend reports whether the rules let the request go to the engine now.
 func (g *Gateway) maySend(r *request, e *engine) bool {
 	if !e.listed || !r.cl.open(e) || g.now >= r.giveUp || (!g.s.MayCopy && r.out() > 0) || !g.mayRetry(r) {
@@ -977,7 +964,7 @@
 }
 
 // finish is the one place from which requests are refused, where that is lawful, or failed.
-func (g *Gateway) finish(r *request) {
+func (g *Gateway) finish(r *request, why Reason) {
 	if r.over {
 		return
 	}
@@ -990,5 +977,5 @@
 	if kind == Refuse && g.s.Advice {
 		wait = min(g.s.MaxAdvice, advice)
 	}
-	g.act(Action{Kind: kind, Req: r.id, Wait: wait})
+	g.act(Action{Kind: kind, Req: r.id, Wait: wait, Reason: why})
 }
--- a/control/state.go
+++ b/control/state.go
@@ -325,9 +325,9 @@
 	return nil
 }
 
-func (g *Gateway) cancel(r *request, i int) {
+func (g *Gateway) cancel(r *request, i int, why Reason) {
 	r.tries[i].cancelled = true
-	g.act(Action{Kind: Cancel, Req: r.id, Attempt: i})
+	g.act(Action{Kind: Cancel, Req: r.id, Attempt: i, Reason: why})
 }
 
 // hold puts a request in the queue, at its place by arrival.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -140,6 +140,16 @@
 		Late    bool    // Failed: the deadline had come
 		MayRun  bool    // Failed: an attempt may have run
 	}
+	// Closed follows the answer to a request that was not served by its first
+	// attempt. It is for the log and the counters.
+	Closed struct {
+		ID       string
+		Class    int
+		Outcome  Outcome
+		Reason   control.Reason
+		After    float64 // ms since it came in
+		Attempts []AttemptRecord
+	}
 	// Probe asks an engine for its load.
 	Probe struct{ Engine string }
 	// Tell sends a message to all peers.
@@ -154,11 +164,22 @@
 func (Stop) effect()   {}
 func (Rank) effect()   {}
 func (Answer) effect() {}
+func (Closed) effect() {}
 func (Probe) effect()  {}
 func (Tell) effect()   {}
 func (List) effect()   {}
 func (Log) effect()    {}
 
+// AttemptRecord is what became of one attempt of a request that is closed.
+type AttemptRecord struct {
+	Engine  string
+	At      float64 // ms from the request's coming in to the attempt's start
+	Lasted  float64 // ms from then to its end, or so far
+	Out     bool    // it has no outcome yet
+	Result  control.Result
+	GivenUp control.Reason // why it was given up, if the decisions did
+}
+
 // usualPriority is an engine's priority where none was asked for.
 const usualPriority = 1
 
@@ -186,6 +207,9 @@
 	never  bool // proved never to have run
 	late   bool // given up for its time
 	stop   bool // given up
+	endAt  float64
+	result control.Result
+	reason control.Reason // why it was given up
 }
 
 type request struct {
@@ -319,7 +343,7 @@
 			return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.ID, b.ID))
 		})
 		for _, r := range list {
-			c.finish(r, true, c.s.MaxAdvice)
+			c.finish(r, true, c.s.MaxAdvice, control.ShuttingDown)
 			c.tell(control.Event{Kind: control.Abandoned, Req: r.ID})
 		}
 	case EngineList:
@@ -392,14 +416,15 @@
 		c.send(r, a)
 	case control.Refuse:
 		if r != nil && !r.over {
-			c.finish(r, true, a.Wait)
+			c.finish(r, true, a.Wait, a.Reason)
 		}
 	case control.Fail:
 		if r != nil && !r.over {
-			c.finish(r, false, 0)
+			c.finish(r, false, 0, a.Reason)
 		}
 	case control.Cancel:
 		if r != nil && a.Attempt >= 0 && a.Attempt < len(r.tries) {
+			r.tries[a.Attempt].reason = a.Reason
 			c.stop(r, a.Attempt)
 		}
 	case control.Terms:
@@ -489,20 +514,35 @@
 // finish gives the final answer that the decisions asked for. A refusal tells
 // the client that trying again is harmless, so it stands only where every
 // attempt provably never ran; else the answer is a failure.
-func (c *Core) finish(r *request, refuse bool, wait float64) {
+func (c *Core) finish(r *request, refuse bool, wait float64, why control.Reason) {
 	may := r.mayRun(len(r.tries))
 	ans := Answer{ID: r.ID, Outcome: Failed, MayRun: may, Late: c.now > r.GiveUpAt-endsSoon}
 	if refuse && !may {
 		ans.Outcome, ans.Wait = Refused, wait
 	}
 	c.do(ans)
+	c.record(r, ans.Outcome, why)
 	c.close(r)
 }
 
+// record reports how a request that was not simply served came to its end.
+func (c *Core) record(r *request, o Outcome, why control.Reason) {
+	closed := Closed{ID: r.ID, Class: r.Class, Outcome: o, Reason: why, After: c.now - r.At}
+	for _, a := range r.tries {
+		rec := AttemptRecord{Engine: a.engine, At: a.at - r.At, Lasted: a.endAt - a.at, Out: a.out, Result: a.result,
+			GivenUp: a.reason}
+		if a.out {
+			rec.Lasted = c.now - a.at
+		}
+		closed.Attempts = append(closed.Attempts, rec)
+	}
+	c.do(closed)
+}
+
 // settle ends a request that nobody waits for, unless an attempt is out.
 func (c *Core) settle(r *request) {
 	if r.left && !r.over && !r.out(len(r.tries)) {
-		c.finish(r, true, 0)
+		c.finish(r, true, 0, control.ClientLeft)
 		c.tell(control.Event{Kind: control.Abandoned, Req: r.ID})
 	}
 }
@@ -543,15 +583,18 @@
 
 func (c *Core) end(r *request, k int, ev AttemptEnded) {
 	a := &r.tries[k]
-	a.out = false
+	a.out, a.endAt, a.result = false, c.now, ev.Result
 	a.never = ev.Result == control.TurnedAway || ev.Result == control.ConnectFailed || ev.Result == control.Moot
 	if ev.Result == control.Served && !r.over {
 		c.do(Answer{ID: r.ID, Outcome: Served, Attempt: k})
+		if k > 0 {
+			c.record(r, Served, control.NoReason)
+		}
 		r.over = true
 		c.open--
 	}
 	if !r.over && r.left && !r.out(len(r.tries)) {
-		c.finish(r, true, 0)
+		c.finish(r, true, 0, control.ClientLeft)
 	}
 	c.forget(r)
 	c.tell(control.Event{Kind: control.Ended, Req: r.ID, Attempt: k, Engine: a.engine, Result: ev.Result,
@@ -576,7 +619,7 @@
 			for i := range r.tries {
 				r.tries[i].late = true
 			}
-			c.finish(r, true, 0)
+			c.finish(r, true, 0, control.DeadlinePassed)
 			c.tell(control.Event{Kind: control.Abandoned, Req: r.ID})
 		}
 	}
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -51,7 +51,8 @@
 type Counters struct {
 	Dials, DialFailures, ConnsLost, Garbage int
 	Pulls, Kills, Boosts, Scrolls, Discards int
-	Words                                   map[string]int
+	Words                                   map[string]int // answers by word; unknown ones are counted together
+	UnknownWords                            int            // answers whose word the protocol does not have
 	LateAnswers, PagesLost, Probes          int
 	NoConn                                  int // connections that the budget or the system did not allow
 	SecondCopies                            int // of answers and pages
@@ -658,7 +659,7 @@
 		return
 	}
 	c.owesAt = p.host.Now()
-	p.Count.Words[r.word]++
+	p.countWord(c, r)
 	ex := c.open[r.id]
 	if ex == nil {
 		// The end of what was given up, which crossed our word on its way, a second
@@ -700,6 +701,21 @@
 	}
 }
 
+// words are those that an engine's answer may have.
+var words = map[string]bool{"ACK": true, "AGAIN": true, "EIO": true, "STALE": true, "BLOCK": true, "READY": true, "AILING": true}
+
+// countWord counts an answer by its word. One that is not known is logged with the
+// request it came for: what follows from it would have no trace otherwise.
+func (p *Pool) countWord(c *conn, r *reply) {
+	if words[r.word] {
+		p.Count.Words[r.word]++
+		return
+	}
+	if p.Count.UnknownWords++; p.Count.UnknownWords < mostLogged {
+		p.host.Logf("engine %s: answer to %.40q with the unknown word %.20q", c.m.id, r.id, r.word)
+	}
+}
+
 // ack takes page 0 and asks for all others at once: the result is served when
 // the last is here, so what is lost before can still be asked for again.
 func (p *Pool) ack(c *conn, ex *exchange, r *reply) {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -70,11 +70,14 @@
 	seq     int
 	tell    func([]byte)
 	report  func() any
+	trace   *tracer
 	Count   struct {
 		Events, Taken, Served, Refused, Failed, Gone int
 		Starts, Stops                                int
 		Late                                         int            // answers after the client's deadline
 		WorstLate, WorstRead, WorstWake              float64        // ms: of these, from reading a request, of timers
+		WorstEvent                                   float64        // ms: for which one event held the loop up
+		Stalls                                       int            // events that held it up for over 100 ms
 		Results                                      map[string]int // of attempts
 	}
 }
@@ -93,6 +96,7 @@
 		urgent: make(chan func(), queued),
 		jobs:   map[string]*job{}, recent: map[string]bool{}}
 	l.Count.Results = map[string]int{}
+	l.trace = newTracer(l.Logf)
 	return l
 }
 
@@ -175,16 +179,16 @@
 		}
 		select {
 		case f := <-l.urgent:
-			f()
+			l.timed(f)
 			continue
 		default:
 		}
 		select {
 		case f := <-l.urgent:
-			f()
+			l.timed(f)
 		case f := <-l.in:
 			l.Count.Events++
-			f()
+			l.timed(f)
 		case <-wake.C:
 			set = math.Inf(-1)
 		}
@@ -198,6 +202,21 @@
 	}
 }
 
+// timed runs a function of the loop and notes how long the loop stood for it:
+// while it does, nothing is read, answered or given up.
+func (l *Loop) timed(f func()) {
+	began := l.Now()
+	f()
+	took := l.Now() - began
+	l.Count.WorstEvent = max(l.Count.WorstEvent, took)
+	if took < stallMs {
+		return
+	}
+	if l.Count.Stalls++; l.Count.Stalls < mostLogged {
+		l.Logf("the event loop stood for %.0f ms in one event", took)
+	}
+}
+
 // apply gives an event to the core and carries out the effects. An effect may
 // bring an event with it, which waits for its turn.
 func (l *Loop) apply(ev core.Event) {
@@ -233,6 +252,8 @@
 		l.back.Rank(e)
 	case core.Answer:
 		l.answer(e)
+	case core.Closed:
+		l.trace.closed(l.Now(), e)
 	case core.Probe:
 		l.back.Probe(e.Engine)
 	case core.Tell:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,6 +63,9 @@
 	count struct {
 		Notices, BoardTroubles, Told, Heard, Strange, Reloads, BadReloads, EmptyLists int
 
+		Listed      int     // engines in the list, gone ones among them
+		WorstNotice float64 // ms that the longest change of the list took
+
 		Foreign int `json:",omitempty"` // datagrams of a kind that is not taken here
 	}
 	desk     *desk
@@ -240,6 +243,7 @@
 		Piece: slices.Max(append(cfg.Settings.Domain.Dop, 1))}, cfg.Settings.Domain.CoresByKind)
 	n := &Node{cfg: cfg, loop: newLoop(cfg.Name, s, cfg.seed), table: t}
 	names := make([]string, len(cfg.Settings.Categories))
+	n.loop.trace.classes = names
 	classes := make([]rest.Limits, len(names))
 	for i, c := range cfg.Settings.Categories {
 		names[i] = c.Name
@@ -487,6 +491,11 @@
 // notices applies what the notice board tells. The decisions hear of an
 // engine's address by its id only.
 func (n *Node) notices(ns *board.Notices) {
+	began := n.loop.Now()
+	defer func() {
+		n.count.Listed = len(n.table.hosts)
+		n.count.WorstNotice = max(n.count.WorstNotice, n.loop.Now()-began)
+	}()
 	for _, e := range ns.Notices {
 		// Guards against an event told twice, by the board that was left and by
 		// the next: the older one would undo what came after it.
@@ -530,6 +539,7 @@
 	runtime.ReadMemStats(&mem)
 	all := map[string]any{"front": n.front.Count, "requests": n.loop.Count, "engines": n.pool.Count, "node": n.count,
 		"open": n.loop.core.Open(), "engine_conns": n.pool.Conns(), "classes": n.loop.core.Census(),
+		"reasons": n.loop.trace.count,
 		"heap_mb": mem.HeapSys >> 20, "goroutines": runtime.NumGoroutine()}
 	if n.group != nil {
 		all["group"] = n.group.Report()
--- /dev/null
+++ b/internal/node/trace_test.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"dewhill/control"
+	"dewhill/internal/core"
+)
+
+// A line about a request names its attempts and why it ended; in an overload the
+// rate of lines is bounded, what is left out is told, and the counters have it all.
+func TestTraceOfRequests(t *testing.T) {
+	var lines []string
+	tr := newTracer(func(format string, args ...any) { lines = append(lines, fmt.Sprintf(format, args...)) })
+	tr.classes = []string{"lookup"}
+	failed := core.Closed{ID: "4990f566dbddf6fb", Outcome: core.Failed, Reason: control.EngineErrors, After: 7,
+		Attempts: []core.AttemptRecord{{Engine: "s-1", Lasted: 3, Result: control.Errored},
+			{Engine: "s-2", At: 3, Lasted: 4, Out: true, GivenUp: control.SilentAttempt}}}
+	tr.closed(1000, failed)
+	want := "request 4990f566dbddf6fb class=lookup failed after 7 ms (errors from several engines); " +
+		"attempt 0 s-1 0+3 ms error; attempt 1 s-2 3+4 ms still out (attempt without a sign of life or far too long)"
+	if len(lines) != 1 || lines[0] != want {
+		t.Fatalf("%q, want %q", lines, want)
+	}
+	for range 10 * traceBurst {
+		tr.closed(1000, core.Closed{Outcome: core.Refused, Reason: control.MissesAim})
+	}
+	if len(lines) != traceBurst || tr.count.Unlogged != 9*traceBurst+1 {
+		t.Errorf("%d lines, %d left out", len(lines), tr.count.Unlogged)
+	}
+	tr.closed(1200, failed)
+	if last := lines[len(lines)-2]; !strings.HasPrefix(last, fmt.Sprint(9*traceBurst+1, " lines")) {
+		t.Errorf("what was left out is told as %q", last)
+	}
+	c := tr.count
+	if c.Refused["would miss its aim"] != 10*traceBurst || c.Failed["errors from several engines"] != 2 || c.Retries["error"] != 2 {
+		t.Errorf("counted %+v", c)
+	}
+}
+
+// Every reason has words of its own.
+func TestReasonsHaveNames(t *testing.T) {
+	seen := map[string]bool{}
+	for r := control.NoReason; r.String() != "unknown reason"; r++ {
+		if r.String() == "" || seen[r.String()] {
+			t.Errorf("reason %d is %q", r, r)
+		}
+		seen[r.String()] = true
+	}
+}
