--- /dev/null
+++ b/internal/acceptance/rig_test.go
@@ -0,0 +1,206 @@
+package acceptance
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"dewhill/internal/standin"
+	"dewhill/internal/testprog"
+)
+
+// deployment describes the settings of a fleet under test, in the words of the
+// configuration.
+type deployment struct {
+	fronts   int // processes that are started
+	replicas int // front ends that the settings name; 0: as many as are started
+	cores    int // of an engine
+	sockets  int
+}
+
+// The classes of the settings: a lookup and a report that may be repeated, and an
+// entry whose repeats engines drop by its key, in order by another key.
+const (
+	lookup = "lookup"
+	report = "report"
+	entry  = "entry"
+)
+
+const (
+	drainGrace  = 2 * time.Second
+	orderSettle = 300 * time.Millisecond
+)
+
+func (d deployment) settings(ordinal int) map[string]any {
+	replicas := d.replicas
+	if replicas == 0 {
+		replicas = d.fronts
+	}
+	class := func(name, effect string, aim, limit, value float64, inOrder bool) map[string]any {
+		return map[string]any{"name": name, "aimMs": aim, "aimStretch": 2, "hardLimitMs": limit, "value": value, "lateValue": 0.2,
+			"effect": effect, "group": "all", "windowMs": 20000, "sequential": inOrder}
+	}
+	return map[string]any{
+		"categories": []any{class(lookup, "pure", 1000, 5000, 1, false), class(report, "pure", 2000, 20000, 6, false),
+			class(entry, "token", 3000, 20000, 4, true)},
+		"hostTypes": []string{"std"}, "localities": []string{"here"}, "discovery": "push",
+		"replicasOfMe": replicas, "ordinal": ordinal, "tickMs": 5, "overShareWorth": 0.2,
+		"customers": []any{map[string]any{"name": "first", "allowancePerS": 100}, map[string]any{"name": "second", "allowancePerS": 50}},
+		"domain": map[string]any{"coresByKind": []int{d.cores}, "memoryByKindMb": []float64{16384}, "dop": []int{1, 4, 2},
+			"classLoad": []bool{false, false, true}, "blockedByLoads": []bool{true, true, false}, "progressMs": 300},
+		"reporting": map[string]any{"via": "none"},
+		"contract": map[string]any{"graceToAnswerMs": 20, "stopSendingWithinMs": drainGrace.Milliseconds(), "orderSettleMs": orderSettle.Milliseconds(),
+			"spareAttempts": 2, "extraPerRequest": 0.1, "countedOverMs": 5000, "fallMultiple": 3, "fallMs": 1500, "coldShare": 0.31, "warmWithinMs": 15000},
+		"limits": map[string]any{"cancel": true, "retryAfter": true, "maxRetryAfterMs": 500, "tryLimit": 4, "connectTimeoutMs": 250,
+			"connIdleMs": 15000, "streamsPerConn": 100, "maxOpen": 20000},
+	}
+}
+
+// fleet is a number of front ends at work.
+type fleet struct {
+	t       *testing.T
+	d       deployment
+	engines []*standin.Engine
+	board   *standin.Board
+	fronts  []*front
+
+	mu      sync.Mutex
+	replies []standin.Reply
+	drained map[string]time.Time
+	asked   int
+}
+
+// front is one front end; its process may come and go.
+type front struct {
+	addr, path string
+	prog       *testprog.Program
+}
+
+// start starts the front ends against engines of its own; all ends with the test.
+func start(t *testing.T, d deployment, engines []*standin.Engine) *fleet {
+	t.Helper()
+	hosts := make([]standin.Host, len(engines))
+	for i, e := range engines {
+		hosts[i] = host(e, standin.Active)
+	}
+	return startOn(t, d, engines, hosts)
+}
+
+// startOn starts the front ends with a list of its own that leads to the engines.
+func startOn(t *testing.T, d deployment, engines []*standin.Engine, hosts []standin.Host) *fleet {
+	t.Helper()
+	f := &fleet{t: t, d: d, engines: engines, drained: map[string]time.Time{}, board: standin.NewBoard(t, hosts)}
+	for i := range d.fronts {
+		f.fronts = append(f.fronts, f.front(i))
+	}
+	for _, fr := range f.fronts {
+		f.run(fr)
+	}
+	return f
+}
+
+func host(e *standin.Engine, health string) standin.Host {
+	return standin.Host{ID: e.ID, Dial: e.Addr, Site: "here", Class: "std", Health: health, Share: 1}
+}
+
+// front writes the configuration of front end i.
+func (f *fleet) front(i int) *front {
+	f.t.Helper()
+	known, _ := f.board.Since(0)
+	fr := &front{addr: testprog.FreeAddr(f.t), path: filepath.Join(f.t.TempDir(), "config.json")}
+	sockets := f.d.sockets
+	if sockets == 0 {
+		sockets = 1024
+	}
+	text, err := json.Marshal(map[string]any{"name": fmt.Sprintf("n%d", i), "listen": fr.addr, "seed": fmt.Sprintf("%016x", 77+i),
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": sockets}, "board": f.board.Addr, "known": known,
+		"settings": f.d.settings(i)})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := os.WriteFile(fr.path, text, 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return fr
+}
+
+// run starts a front end's process and waits until it takes clients.
+func (f *fleet) run(fr *front) {
+	f.t.Helper()
+	fr.prog = testprog.Start(f.t, []string{"PROXY_CONFIG=" + fr.path, "PROXY_NAME=", "PROXY_LISTEN=", "PROXY_CONTROL=", "TMPDIR=" + f.t.TempDir()})
+	testprog.Until(f.t, "the front end to be healthy", func() bool { return standin.Healthy(fr.addr) })
+}
+
+// ask sends a request to a front end and records what became of it.
+func (f *fleet) ask(fr *front, q standin.Request) standin.Reply {
+	f.mu.Lock()
+	f.asked++
+	if q.ID == "" {
+		q.ID = fmt.Sprintf("%016x", f.asked)
+	}
+	f.mu.Unlock()
+	if q.Statement == "" {
+		q.Statement = "SELECT 1 FROM count_" + fmt.Sprint(f.asked%7) + ".sites WHERE tag = '" + q.ID + "'"
+	}
+	if q.Class == entry && q.Token == "" {
+		q.Token = "5c0f6e1a2b3d4c59" + q.ID
+	}
+	r := standin.Ask(fr.addr, q)
+	f.mu.Lock()
+	f.replies = append(f.replies, r)
+	f.mu.Unlock()
+	return r
+}
+
+// rowsOf is what every engine of these tests makes for a request.
+func rowsOf(id string) [][]string { return [][]string{{id, "1", "x"}, {id, "2", "y"}} }
+
+// pagesOf is the same as pages.
+func pagesOf(id string) []string { return []string{id + "\t1\tx\n", id + "\t2\ty\n"} }
+
+// broken returns what the records show of broken rules so far.
+func (f *fleet) broken() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rules := standin.Rules{InOrder: map[string]bool{entry: true}, OrderSettle: orderSettle, DrainGrace: drainGrace, Rows: rowsOf,
+		Drained: f.drained}
+	return rules.Check(f.replies, f.engines)
+}
+
+// outcomes counts the replies so far.
+func (f *fleet) outcomes() (served, refused, failed int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.replies {
+		switch {
+		case r.Served():
+			served++
+		case r.Status == 429 || r.Status == 503:
+			refused++
+		case r.Taken && !r.Left:
+			failed++
+		}
+	}
+	return served, refused, failed
+}
+
+// mostShown is how many broken rules a failing test prints.
+const mostShown = 12
+
+// verdict fails the test where a rule was broken.
+func (f *fleet) verdict() {
+	f.t.Helper()
+	broken := f.broken()
+	for _, b := range broken[:min(len(broken), mostShown)] {
+		f.t.Error(b)
+	}
+	if len(broken) > mostShown {
+		f.t.Errorf("and %d more", len(broken)-mostShown)
+	}
+	served, refused, failed := f.outcomes()
+	f.t.Logf("%d served, %d refused, %d failed, %d rules broken", served, refused, failed, len(broken))
+}
--- /dev/null
+++ b/internal/standin/check.go
@@ -0,0 +1,178 @@
+package standin
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Slack is what the rules allow on sockets beyond each of their time limits.
+const Slack = 50 * time.Millisecond
+
+// The limits of the rules that the settings do not set.
+const (
+	lateAnswerGrace = 500 * time.Millisecond // an answer may come this long after its deadline
+	leaverGrace     = 100 * time.Millisecond // an attempt may begin this long after its client left
+	deadlineSlack   = 150 * time.Millisecond // more than the client has left that an engine may be told
+)
+
+// Rules are what the settings say about the rules.
+type Rules struct {
+	InOrder     map[string]bool // classes whose requests with one key run in turn
+	OrderSettle time.Duration   // for which a key rests after an attempt that may run on
+	DrainGrace  time.Duration
+	Rows        func(id string) [][]string // that an engine makes for a request
+	Drained     map[string]time.Time       // engines, and when the board told that they leave
+}
+
+// Check returns what clients' and engines' records show of broken rules.
+func (rules *Rules) Check(replies []Reply, engines []*Engine) (broken []string) {
+	byID := map[string]*Reply{}
+	for i := range replies {
+		byID[replies[i].ID] = &replies[i]
+	}
+	attempts := map[string][]Attempt{}
+	report := func(format string, args ...any) { broken = append(broken, fmt.Sprintf(format, args...)) }
+	for _, e := range engines {
+		for _, w := range e.Wrong() {
+			report("form: engine %s: %s", e.ID, w)
+		}
+		for _, a := range e.Attempts() {
+			attempts[a.ID] = append(attempts[a.ID], a)
+			if at, ok := rules.Drained[a.Engine]; ok && a.Came.After(at.Add(rules.DrainGrace+Slack)) {
+				report("drain: %s was sent to %s %v after its drain was told", a.ID, a.Engine, a.Came.Sub(at))
+			}
+		}
+	}
+	for _, id := range sortedKeys(attempts) {
+		list := attempts[id]
+		slices.SortFunc(list, func(a, b Attempt) int { return a.Came.Compare(b.Came) })
+		r := byID[id]
+		if r == nil {
+			report("form: engines got %s, which no client sent", id)
+			continue
+		}
+		for i, a := range list {
+			for _, w := range passedOn(r, a) {
+				report("form: %s at %s: %s", id, a.Engine, w)
+			}
+			if i > 0 && overlaps(list[i-1], a) {
+				report("duplicate: %s was sent to %s while it was out at %s (%v after it came there; its end: %s)", id, a.Engine,
+					list[i-1].Engine, a.Came.Sub(list[i-1].Came), endOf(list[i-1]))
+			}
+			if r.Left && a.Came.After(r.Ended.Add(leaverGrace+Slack)) {
+				report("lost: %s was sent to %s %v after its client had left", id, a.Engine, a.Came.Sub(r.Ended))
+			}
+		}
+	}
+	for i := range replies {
+		broken = append(broken, rules.checkReply(&replies[i])...)
+	}
+	return append(broken, rules.checkOrder(replies, attempts)...)
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// passedOn returns in what an attempt differs from its client's request.
+func passedOn(r *Reply, a Attempt) (wrong []string) {
+	if a.Fields["c"] != r.Class {
+		wrong = append(wrong, fmt.Sprintf("class %q, sent as %q", a.Fields["c"], r.Class))
+	}
+	if a.Statement != r.Statement {
+		wrong = append(wrong, fmt.Sprintf("statement %q, sent as %q", a.Statement, r.Statement))
+	}
+	if a.Fields["i"] != r.Token {
+		wrong = append(wrong, fmt.Sprintf("idempotency key %q, sent as %q", a.Fields["i"], r.Token))
+	}
+	w, err := strconv.Atoi(a.Fields["w"])
+	left := r.Sent.Add(r.Wait).Sub(a.Came)
+	if err != nil || w <= 0 {
+		wrong = append(wrong, fmt.Sprintf("deadline %q", a.Fields["w"]))
+	} else if time.Duration(w)*time.Millisecond > left+deadlineSlack {
+		wrong = append(wrong, fmt.Sprintf("deadline %d ms, %v are left", w, left))
+	}
+	for name := range a.Fields {
+		if !slices.Contains([]string{"c", "w", "i", "nice"}, name) {
+			wrong = append(wrong, fmt.Sprintf("unknown field %q", name))
+		}
+	}
+	return wrong
+}
+
+// overlaps reports whether the second attempt came while the first was out.
+func overlaps(first, second Attempt) bool {
+	return first.End == Running || first.Ended.Sub(second.Came) > Slack
+}
+
+func endOf(a Attempt) string {
+	if a.End == Running {
+		return "none"
+	}
+	return fmt.Sprintf("%s after %v", a.End, a.Ended.Sub(a.Came))
+}
+
+// checkReply checks that a request that was taken got one whole answer in time.
+func (rules *Rules) checkReply(r *Reply) (broken []string) {
+	if !r.Taken || r.Left {
+		return nil
+	}
+	after := r.Ended.Sub(r.Sent)
+	switch {
+	case r.Broken != "":
+		broken = append(broken, fmt.Sprintf("lost: %s %s: %s after %v", r.Class, r.ID, r.Broken, after))
+	case after > r.Wait+lateAnswerGrace:
+		broken = append(broken, fmt.Sprintf("lost: %s %s was answered after %v, its client waits %v", r.Class, r.ID, after, r.Wait))
+	case r.Served() && rules.Rows != nil && fmt.Sprint(r.Rows) != fmt.Sprint(rules.Rows(r.ID)):
+		broken = append(broken, fmt.Sprintf("lost: %s %s was served %v, engines made %v", r.Class, r.ID, r.Rows, rules.Rows(r.ID)))
+	}
+	return broken
+}
+
+// checkOrder checks that requests of one key that one front end took ran one at a
+// time, in the order in which their clients sent them. Clients of one key must
+// have left time between any two.
+func (rules *Rules) checkOrder(replies []Reply, attempts map[string][]Attempt) (broken []string) {
+	byKey := map[string][]*Reply{}
+	for i := range replies {
+		if r := &replies[i]; r.Key != "" && rules.InOrder[r.Class] {
+			byKey[r.Key] = append(byKey[r.Key], r)
+		}
+	}
+	for _, key := range sortedKeys(byKey) {
+		list := byKey[key]
+		slices.SortFunc(list, func(a, b *Reply) int { return cmp.Or(a.Sent.Compare(b.Sent), cmp.Compare(a.ID, b.ID)) })
+		for i, r := range list {
+			for _, later := range list[i+1:] {
+				if w := rules.outOfTurn(attempts[r.ID], attempts[later.ID]); w != "" {
+					broken = append(broken, fmt.Sprintf("order: key %s, %s before %s: %s", key, r.ID, later.ID, w))
+				}
+			}
+		}
+	}
+	return broken
+}
+
+// outOfTurn returns how attempts of a later request crossed those of an earlier one.
+func (rules *Rules) outOfTurn(first, later []Attempt) string {
+	for _, a := range first {
+		for _, b := range later {
+			rest := -Slack
+			if a.End != Answered {
+				rest += rules.OrderSettle
+			}
+			if a.End == Running || a.Ended.Add(rest).After(b.Came) {
+				return fmt.Sprintf("sent to %s %v after the earlier came to %s (its end: %s)", b.Engine, b.Came.Sub(a.Came), a.Engine, endOf(a))
+			}
+		}
+	}
+	return ""
+}
