Engines' notes end no attempt, and the client's idempotency key is passed on

Cause, seen: Pool.answer ended an attempt with 'error' on every word that it did not know (its default branch), without KILL. EVENT, told where the settings have progress notes, is such a word: a second attempt went out while the first ran, the second note failed the request, and well engines were shut out. The field i of PULL and Req-Token did not exist in the program.

Change: the words are an enumeration with a case for each; a note is checked and told to the decisions (core.Noted), a spoilt one dropped and counted; after an unknown word the attempt is given up with KILL and counts as reset once that has had time to arrive. Req-Token is required in keyed classes, checked, and passed on with every attempt.

--- a/control/api.go
+++ b/control/api.go
@@ -152,6 +152,7 @@
 	TakenOut                    // Engine: an operator leaves it out, whatever the list says
 	PutBack                     // Engine: and puts it back
 	Fleet                       // Level: how many gateways count for shares of work
+	Alive                       // Req, Attempt: its engine gave a sign of life, and told nothing else
 	Unattended                  // Req, Level: above 0 while its client may be gone, and no attempt is to begin
 )
 
--- a/control/control.go
+++ b/control/control.go
@@ -124,7 +124,7 @@
 		g.arrive(ev)
 	case Ended:
 		g.end(ev)
-	case Opened, Progress, Spills, Waits:
+	case Opened, Progress, Spills, Waits, Alive:
 		g.note(ev)
 	case Probed:
 		if e := g.byID[ev.Engine]; e != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -41,6 +41,13 @@
 		Work, MemoryMB float64
 		Report         *control.Report
 	}
+	// Noted tells what an engine says of an attempt that goes on. It ends nothing.
+	Noted struct {
+		ID      string
+		Attempt int
+		Note    Note
+		Level   float64 // see Note
+	}
 	// Abandoned tells that the client has stopped waiting.
 	Abandoned struct{ ID string }
 	// Left tells that nobody waits any more for a request whose outcome is to be
@@ -84,6 +91,7 @@
 
 func (Arrived) event()      {}
 func (AttemptEnded) event() {}
+func (Noted) event()        {}
 func (Abandoned) event()    {}
 func (Left) event()         {}
 func (Away) event()         {}
@@ -95,6 +103,28 @@
 func (Fleet) event()        {}
 func (Woke) event()         {}
 
+// Note is what an engine may say of an attempt before its end.
+type Note int
+
+// The notes.
+const (
+	StillThere  Note = iota // no more than that; Level is not used
+	ShareDone               // Level is the share of the work done, from 0 to 1
+	MemoryShort             // Level is the memory that is missing, in MB
+	HeldUp                  // Level is 1 where it waits for memory, 2 for a load
+)
+
+// noteEvents are the notes as the decisions are told of them.
+var noteEvents = [...]control.EventKind{StillThere: control.Alive, ShareDone: control.Progress, MemoryShort: control.Spills,
+	HeldUp: control.Waits}
+
+// Query is what a platform front takes from its client for the engine, and the
+// engine side passes on unchanged.
+type Query struct {
+	Statement      []byte
+	IdempotencyKey string // by which engines know a repeat; empty: none
+}
+
 // Effect is something to do.
 type Effect interface{ effect() }
 
@@ -314,6 +344,8 @@
 		c.arrive(ev.Request)
 	case AttemptEnded:
 		c.ended(ev)
+	case Noted:
+		c.note(ev)
 	case Abandoned:
 		if r := c.reqs[ev.ID]; r != nil && !r.over {
 			c.close(r)
@@ -581,6 +613,18 @@
 	c.end(r, ev.Attempt, ev)
 }
 
+// note tells the decisions what an engine said of an attempt that is out and was
+// not given up.
+func (c *Core) note(ev Noted) {
+	r := c.reqs[ev.ID]
+	if r == nil || r.over || ev.Attempt < 0 || ev.Attempt >= len(r.tries) || ev.Note < 0 || int(ev.Note) >= len(noteEvents) {
+		return
+	}
+	if a := &r.tries[ev.Attempt]; a.out && !a.stop {
+		c.tell(control.Event{Kind: noteEvents[ev.Note], Req: r.ID, Attempt: ev.Attempt, Engine: a.engine, Level: ev.Level})
+	}
+}
+
 func (c *Core) end(r *request, k int, ev AttemptEnded) {
 	a := &r.tries[k]
 	a.out, a.endAt, a.result = false, c.now, ev.Result
--- a/internal/engine/message.go
+++ b/internal/engine/message.go
@@ -10,6 +10,7 @@
 	"unicode/utf8"
 
 	"dewhill/control"
+	"dewhill/internal/core"
 	"dewhill/internal/lines"
 )
 
@@ -22,11 +23,32 @@
 	columns   = 3
 )
 
+// word is the second word of an answer: what it says of its request.
+type word int
+
+// The words of the protocol. An answer with any other word is taken for unknown.
+const (
+	unknownWord word = iota
+	ack              // the request is done; this is page 0 of its result
+	again            // the engine is full: it never ran
+	ioError          // it may have run, or a page is lost
+	stale            // it was over already: it never ran
+	event            // it is not over yet; a note may be with it
+	block            // a further page
+	ready            // a probe's answer: well
+	ailing           // a probe's answer: not well
+)
+
+var words = map[string]word{"ACK": ack, "AGAIN": again, "EIO": ioError, "STALE": stale, "EVENT": event, "BLOCK": block,
+	"READY": ready, "AILING": ailing}
+
 // reply is one answer of an engine.
 type reply struct {
-	id, word string
-	fields   map[string]string
-	body     []byte
+	id     string
+	word   word
+	text   string // the word as it came
+	fields map[string]string
+	body   []byte
 }
 
 var errGarbage = errors.New("what came is no answer")
@@ -45,7 +67,7 @@
 	if err != nil || n > mostPage {
 		return nil, fmt.Errorf("%w: length %.20q", errGarbage, parts[3])
 	}
-	r := &reply{id: parts[0], word: parts[1]}
+	r := &reply{id: parts[0], word: words[parts[1]], text: parts[1]}
 	if r.fields, err = fields(parts[2]); err != nil {
 		return nil, err
 	}
@@ -114,6 +136,29 @@
 	return x
 }
 
+// note reads what an EVENT says of its request. ok is false where it is spoilt: a
+// note of an unknown kind, or a figure out of its range. Such a note is dropped, as
+// the decisions would judge an attempt by it.
+func (r *reply) note() (kind core.Note, level float64, ok bool) {
+	name, figure := r.fields["note"], r.fields["num"]
+	if name == "" && figure == "" {
+		return core.StillThere, 0, true
+	}
+	level, err := strconv.ParseFloat(figure, 64)
+	if err != nil || !(level >= 0) || math.IsInf(level, 0) {
+		return 0, 0, false
+	}
+	switch name {
+	case "share":
+		return core.ShareDone, level, level <= 1
+	case "short":
+		return core.MemoryShort, level, true
+	case "held":
+		return core.HeldUp, level, level == 1 || level == 2
+	}
+	return 0, 0, false
+}
+
 // report reads a load report, inflight:7;util:0.61, or nil where there is none.
 // One that is spoilt (a value that is no number from 0 up, or nothing that is
 // known) is none: guards against an engine that would look empty by it.
--- a/internal/engine/message_test.go
+++ b/internal/engine/message_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"dewhill/internal/core"
 	"dewhill/internal/lines"
 	"dewhill/internal/testprog"
 )
@@ -76,3 +77,26 @@
 		}
 	}
 }
+
+// A note is told with its figure where that is in its range, else it is dropped:
+// attempts are judged by it.
+func TestNotes(t *testing.T) {
+	for _, c := range []struct {
+		note, num string
+		kind      core.Note
+		level     float64
+		ok        bool
+	}{
+		{"", "", core.StillThere, 0, true}, {"share", "0.25", core.ShareDone, 0.25, true}, {"share", "1", core.ShareDone, 1, true},
+		{"short", "96", core.MemoryShort, 96, true}, {"held", "1", core.HeldUp, 1, true}, {"held", "2", core.HeldUp, 2, true},
+		{"share", "1.5", 0, 0, false}, {"share", "NaN", 0, 0, false}, {"share", "-1", 0, 0, false}, {"share", "", 0, 0, false},
+		{"short", "Inf", 0, 0, false}, {"held", "3", 0, 0, false}, {"held", "0", 0, 0, false}, {"other", "1", 0, 0, false},
+		{"", "1", 0, 0, false},
+	} {
+		r := &reply{fields: map[string]string{"note": c.note, "num": c.num}}
+		kind, level, ok := r.note()
+		if ok != c.ok || ok && (kind != c.kind || level != c.level) {
+			t.Errorf("%s %s: %v %v %v", c.note, c.num, kind, level, ok)
+		}
+	}
+}
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -33,6 +33,7 @@
 	Now() float64
 	After(ms float64, f func())
 	Ended(ev core.AttemptEnded, result any)
+	Noted(ev core.Noted)
 	Probed(ev core.Probed)
 	Logf(format string, args ...any)
 }
@@ -53,6 +54,7 @@
 	Pulls, Kills, Boosts, Scrolls, Discards int
 	Words                                   map[string]int // answers by word; unknown ones are counted together
 	UnknownWords                            int            // answers whose word the protocol does not have
+	Notes, SpoiltNotes                      int            // told before an attempt's end, and those that were dropped
 	LateAnswers, PagesLost, Probes          int
 	NoConn                                  int // connections that the budget or the system did not allow
 	SecondCopies                            int // of answers and pages
@@ -237,7 +239,7 @@
 
 // Start sends an attempt out.
 func (p *Pool) Start(s core.Start, class int, work any) {
-	statement, _ := work.([]byte)
+	query, _ := work.(core.Query)
 	m := p.engines[s.Engine]
 	ex := &exchange{id: s.ID, attempt: s.Attempt, at: p.host.Now(), by: s.By}
 	if m == nil || m.gone {
@@ -251,14 +253,18 @@
 		return
 	}
 	wait := max(1, int(s.Until-p.host.Now()))
-	ex.first = command{line: fmt.Sprintf("PULL %s c=%s,w=%d,nice=%d %d", s.ID, p.o.Classes[class], wait, s.Priority,
-		len(statement)), body: statement, ex: ex}
+	key := ""
+	if query.IdempotencyKey != "" {
+		key = ",i=" + query.IdempotencyKey
+	}
+	ex.first = command{line: fmt.Sprintf("PULL %s c=%s,w=%d%s,nice=%d %d", s.ID, p.o.Classes[class], wait, key, s.Priority,
+		len(query.Statement)), body: query.Statement, ex: ex}
 	p.Count.Pulls++
-	m.out[key(s.ID, s.Attempt)] = ex
+	m.out[attemptKey(s.ID, s.Attempt)] = ex
 	p.put(c, ex)
 }
 
-func key(id string, attempt int) string { return id + "/" + strconv.Itoa(attempt) }
+func attemptKey(id string, attempt int) string { return id + "/" + strconv.Itoa(attempt) }
 
 // put opens an exchange on a connection.
 func (p *Pool) put(c *conn, ex *exchange) {
@@ -560,7 +566,7 @@
 		if c.open[ex.id] == ex {
 			delete(c.open, ex.id)
 		}
-		delete(c.m.out, key(ex.id, ex.attempt))
+		delete(c.m.out, attemptKey(ex.id, ex.attempt))
 		if res != control.Served && !ex.stopped && !c.dead && ex.stage.Load() != withdrawn {
 			c.past[ex.id] = true
 			p.host.After(doubtMs, func() { delete(c.past, ex.id) })
@@ -588,14 +594,17 @@
 	if m == nil {
 		return
 	}
-	ex := m.out[key(s.ID, s.Attempt)]
-	if ex == nil || ex.stopped {
+	ex := m.out[attemptKey(s.ID, s.Attempt)]
+	if ex == nil || ex.stopped || p.withdraw(ex) {
 		return
 	}
+	p.giveUp(ex, control.Cancelled)
+}
+
+// giveUp tells the engine that an attempt is given up, and reports its end by the
+// result once the word has had time to arrive, unless an answer comes first.
+func (p *Pool) giveUp(ex *exchange, res control.Result) {
 	c := ex.conn
-	if p.withdraw(ex) {
-		return
-	}
 	ex.stopped = true
 	c.killed[ex.id] = true
 	p.host.After(doubtMs, func() { delete(c.killed, ex.id) })
@@ -612,7 +621,7 @@
 	p.send(c, command{line: word + ex.id, then: func() {
 		p.host.After(wordMs, func() {
 			if c.open[ex.id] == ex {
-				p.end(ex, control.Cancelled)
+				p.end(ex, res)
 			}
 		})
 	}})
@@ -624,7 +633,7 @@
 	if m == nil {
 		return
 	}
-	ex := m.out[key(r.ID, r.Attempt)]
+	ex := m.out[attemptKey(r.ID, r.Attempt)]
 	if ex != nil && ex.conn.up && !ex.stopped && !ex.acked {
 		p.Count.Boosts++
 		p.send(ex.conn, command{line: fmt.Sprintf("BOOST %s %d", r.ID, r.Priority)})
@@ -665,7 +674,7 @@
 		// The end of what was given up, which crossed our word on its way, a second
 		// copy, or an answer to nobody: none of them ends a good connection.
 		p.Count.LateAnswers++
-		if r.word == "ACK" && c.killed[r.id] && r.number("batches") > 1 {
+		if r.word == ack && c.killed[r.id] && r.number("batches") > 1 {
 			p.Count.Discards++
 			p.send(c, command{line: "DISCARD " + r.id})
 		}
@@ -678,41 +687,59 @@
 	}
 	if ex.probe {
 		res := control.Served
-		if r.word != "READY" && r.word != "AILING" {
+		if r.word != ready && r.word != ailing {
 			res = control.Errored
 		}
 		p.end(ex, res)
 		return
 	}
 	switch r.word {
-	case "ACK":
+	case ack:
 		p.ack(c, ex, r)
-	case "BLOCK":
+	case block:
 		p.page(c, ex, r)
-	case "AGAIN":
+	case again:
 		p.end(ex, control.TurnedAway)
-	case "STALE":
+	case stale:
 		p.end(ex, control.Moot)
-	default: // EIO, and what this program does not know
+	case ioError:
 		if ex.acked {
 			p.Count.PagesLost++
 		}
 		p.end(ex, control.Errored)
+	case event:
+		p.note(ex, r)
+	case ready, ailing, unknownWord:
+		// Only the words above end an attempt. After any other it may be running, so
+		// it is given up before another may begin.
+		if !ex.stopped {
+			p.giveUp(ex, control.Reset)
+		}
 	}
 }
 
-// words are those that an engine's answer may have.
-var words = map[string]bool{"ACK": true, "AGAIN": true, "EIO": true, "STALE": true, "BLOCK": true, "READY": true, "AILING": true}
+// note passes on what an engine says of an attempt that goes on.
+func (p *Pool) note(ex *exchange, r *reply) {
+	kind, level, ok := r.note()
+	if !ok {
+		p.Count.SpoiltNotes++
+		return
+	}
+	p.Count.Notes++
+	if !ex.stopped && !ex.acked {
+		p.host.Noted(core.Noted{ID: ex.id, Attempt: ex.attempt, Note: kind, Level: level})
+	}
+}
 
 // countWord counts an answer by its word. One that is not known is logged with the
 // request it came for: what follows from it would have no trace otherwise.
 func (p *Pool) countWord(c *conn, r *reply) {
-	if words[r.word] {
-		p.Count.Words[r.word]++
+	if r.word != unknownWord {
+		p.Count.Words[r.text]++
 		return
 	}
 	if p.Count.UnknownWords++; p.Count.UnknownWords < mostLogged {
-		p.host.Logf("engine %s: answer to %.40q with the unknown word %.20q", c.m.id, r.id, r.word)
+		p.host.Logf("engine %s: answer to %.40q with the unknown word %.20q", c.m.id, r.id, r.text)
 	}
 }
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -343,6 +343,9 @@
 	l.apply(ev)
 }
 
+// Noted takes in what an engine says of an attempt that goes on.
+func (l *Loop) Noted(ev core.Noted) { l.apply(ev) }
+
 // Probed takes in how a probe ended.
 func (l *Loop) Probed(ev core.Probed) { l.apply(ev) }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -247,7 +247,8 @@
 	classes := make([]rest.Limits, len(names))
 	for i, c := range cfg.Settings.Categories {
 		names[i] = c.Name
-		classes[i] = rest.Limits{Name: c.Name, Work: c.HardLimitMs * float64(slices.Max(append(cfg.Settings.Domain.CoresByKind, 1)))}
+		classes[i] = rest.Limits{Name: c.Name, Work: c.HardLimitMs * float64(slices.Max(append(cfg.Settings.Domain.CoresByKind, 1))),
+			Keyed: s.Classes[i].Effect == control.Keyed}
 	}
 	limits := &cfg.Settings.Limits
 	n.pool = engine.New(n.loop, engine.Options{
--- a/internal/rest/front.go
+++ b/internal/rest/front.go
@@ -162,6 +162,9 @@
 type Limits struct {
 	Name string
 	Work float64 // ms on one core; more can't be done in time by any engine
+	// Keyed: engines know a repeat by the client's idempotency key, so that a
+	// request without one is malformed.
+	Keyed bool
 }
 
 // Options are the front's settings.
@@ -784,7 +787,7 @@
 	if r.Key, err = m.one("Req-Key"); err != nil {
 		return r, err
 	}
-	if len(r.Key) > 256 {
+	if len(r.Key) > mostKey {
 		return r, bad(400, "bad Req-Key")
 	}
 	if len(m.body) == 0 {
@@ -799,6 +802,10 @@
 	if err != nil {
 		return err
 	}
+	key, err := m.idempotencyKey(f.limits[r.Class].Keyed)
+	if err != nil {
+		return err
+	}
 	f.Count.Requests++
 	if c.excess {
 		// Guards the budget of descriptors: a client over it is told to come back.
@@ -814,7 +821,7 @@
 	}
 	f.open[r.ID] = ex
 	f.hold(c, ex, 0)
-	err = f.host.Submit(r, m.body, func(a core.Answer, result any) { f.finish(ex, a, result) })
+	err = f.host.Submit(r, core.Query{Statement: m.body, IdempotencyKey: key}, func(a core.Answer, result any) { f.finish(ex, a, result) })
 	if err != nil {
 		delete(f.open, r.ID)
 		c.ex, ex.conn = nil, nil
--- a/internal/rest/message.go
+++ b/internal/rest/message.go
@@ -18,6 +18,7 @@
 	leastBody = 16 << 10 // largest body where memory is shortest
 	mostWait  = 3600_000 // ms
 	mostMB    = 1 << 20
+	mostKey   = 256 // bytes of a key that orders requests, or of one that marks repeats
 )
 
 // call is one message from a client.
@@ -131,6 +132,21 @@
 	return x, nil
 }
 
+// idempotencyKey returns the request's key, which has to be one that a field of an
+// engine's request can carry: visible ASCII without the comma that ends a field.
+func (c *call) idempotencyKey(needed bool) (string, error) {
+	key, err := c.one("Req-Token")
+	switch {
+	case err != nil:
+		return "", err
+	case key == "" && needed:
+		return "", bad(400, "no Req-Token")
+	case len(key) > mostKey || strings.ContainsFunc(key, func(r rune) bool { return r <= ' ' || r > '~' || r == ',' }):
+		return "", bad(400, "bad Req-Token")
+	}
+	return key, nil
+}
+
 func isID(s string) bool {
 	return len(s) == 16 && strings.Trim(s, "0123456789abcdefABCDEF") == ""
 }
