A list change costs a step a front end; decisions are shown the engines they may use

Cause, seen: fleet.Plan.Draw sorted all pairs of front end and engine with each event of the board, in the event loop: 404 ms and 24 MB at 900 by 3,200. While it lasts nothing is read, answered or given up: TestListChangesOfALargeFleet, 0 served, no whole answer in 3 s.

Change: fleet.Drawer keeps rankings over changes and matches by deferred acceptance, the same subsets as before (TestDrawerFollowsTheDefinition, against the definition); events of one answer are drawn once; control is shown the subset, draining and named engines in place of the whole list; engines that have gone leave the table, which grew with every engine that there ever was.

--- a/internal/fleet/subset.go
+++ b/internal/fleet/subset.go
@@ -13,13 +13,6 @@
 // where the list changes. See docs/design-fleet.md.
 package fleet
 
-import (
-	"hash/fnv"
-	"math"
-	"math/bits"
-	"slices"
-)
-
 // Engine is one entry of the list as the subset sees it.
 type Engine struct {
 	ID     string
@@ -98,58 +91,9 @@
 // front end short or an engine crowded; front ends and engines that come, go or
 // restart move few others; and all front ends that have the same list agree on
 // who shares an engine.
-func (p Plan) Draw(list []Engine) []Share {
-	var usable []Engine
-	cores := 0.0
-	for _, e := range list {
-		if e.Usable {
-			e.Cores = max(1, e.Cores)
-			usable, cores = append(usable, e), cores+e.Cores
-		}
-	}
-	shares := make([]Share, 0, len(usable))
-	fleet, place := p.part()
-	size := p.size(fleet, len(usable), cores)
-	if size == len(usable) {
-		for _, e := range usable {
-			shares = append(shares, Share{e.ID, max(1, fleet), true, place})
-		}
-		return shares
-	}
-	// A pair's number stands in the low bits of its weight: one sort orders all.
-	low := bits.Len(uint(len(usable) * p.Fleet))
-	pairs := make([]uint64, 0, len(usable)*p.Fleet)
-	room := make([]int, len(usable)) // of each engine
-	for i, e := range usable {
-		room[i] = min(fleet, int(math.Ceil(float64(fleet*size)*e.Cores/cores)))
-		h := fnv.New64a()
-		h.Write([]byte(e.ID))
-		id := h.Sum64()
-		for f := range p.Fleet {
-			if !p.in(f) {
-				continue
-			}
-			pairs = append(pairs, mix(id+uint64(f)*golden)>>low<<low|uint64(i*p.Fleet+f))
-		}
-	}
-	slices.Sort(pairs)
-	taken := make([]int, p.Fleet) // engines of each front end
-	sharers := make([]int, len(usable))
-	places := make([]int, len(usable))
-	for k := len(pairs) - 1; k >= 0; k-- {
-		i, f := int(pairs[k]&(1<<low-1))/p.Fleet, int(pairs[k]&(1<<low-1))%p.Fleet
-		if taken[f] == size || sharers[i] == room[i] {
-			continue
-		}
-		if sharers[i], taken[f] = sharers[i]+1, taken[f]+1; f == p.Self {
-			places[i] = sharers[i]
-		}
-	}
-	for i, e := range usable {
-		shares = append(shares, Share{e.ID, sharers[i], places[i] > 0, max(0, places[i]-1)})
-	}
-	return shares
-}
+//
+// A Drawer draws the same at a fraction of the cost where the list changes often.
+func (p Plan) Draw(list []Engine) []Share { return new(Drawer).Draw(p, list) }
 
 const golden = 0x9e3779b97f4a7c15
 
--- a/internal/fleet/subset_test.go
+++ b/internal/fleet/subset_test.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 
@@ -164,6 +166,98 @@
 	}
 }
 
+// greedy draws by the definition: all pairs of a front end and an engine by falling
+// weight, each taken while both have room.
+func greedy(p Plan, list []Engine) (shares []Share) {
+	cores := 0.0
+	var usable []Engine
+	for _, e := range list {
+		if e.Usable {
+			e.Cores = max(1, e.Cores)
+			usable, cores = append(usable, e), cores+e.Cores
+		}
+	}
+	fleet, place := p.part()
+	size := p.size(fleet, len(usable), cores)
+	type pair struct {
+		weight        uint64
+		engine, front int
+	}
+	var pairs []pair
+	for i, e := range usable {
+		for f := range p.Fleet {
+			if p.in(f) {
+				pairs = append(pairs, pair{mix(hashOf(e.ID) + uint64(f)*golden), i, f})
+			}
+		}
+	}
+	slices.SortFunc(pairs, func(a, b pair) int { return cmp.Compare(b.weight, a.weight) })
+	taken := make([]int, p.Fleet)
+	shares = make([]Share, len(usable))
+	for i, e := range usable {
+		shares[i].ID = e.ID
+		if size == len(usable) {
+			shares[i] = Share{e.ID, max(1, fleet), true, place}
+		}
+	}
+	for _, x := range pairs {
+		room := min(fleet, int(math.Ceil(float64(fleet*size)*usable[x.engine].Cores/cores)))
+		s := &shares[x.engine]
+		if size == len(usable) || taken[x.front] == size || s.Sharers == room {
+			continue
+		}
+		if taken[x.front]++; x.front == p.Self {
+			s.In, s.Place = true, s.Sharers
+		}
+		s.Sharers++
+	}
+	return shares
+}
+
+// A drawer that has followed a list through any changes draws what the definition
+// gives for the list as it is now.
+func TestDrawerFollowsTheDefinition(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := Plan{Fleet: rapid.IntRange(1, 60).Draw(t, "fleet"), PerFront: rapid.SampledFrom([]int{Auto, 0, 1, 3, 7}).Draw(t, "perFront"),
+			Piece: rapid.IntRange(0, 4).Draw(t, "piece")}
+		p.Self = rapid.IntRange(0, p.Fleet-1).Draw(t, "self")
+		list := engines(rapid.IntRange(0, 300).Draw(t, "engines"))
+		var d Drawer
+		for range rapid.IntRange(1, 6).Draw(t, "changes") {
+			for range rapid.IntRange(0, 1+len(list)/3).Draw(t, "changed") {
+				if k := rapid.IntRange(0, len(list)).Draw(t, "which"); k < len(list) {
+					list[k].Usable = !list[k].Usable
+				} else {
+					list = append(list, Engine{ID: fmt.Sprint("new-", len(list)), Usable: true, Cores: 2})
+				}
+			}
+			if rapid.Bool().Draw(t, "view") {
+				p.Alive = rapid.SliceOfN(rapid.Bool(), p.Fleet, p.Fleet).Draw(t, "alive")
+			}
+			if got, want := d.Draw(p, list), greedy(p, list); !slices.Equal(got, want) {
+				t.Fatalf("%+v with %d engines:\n%v, want\n%v", p, len(list), got, want)
+			}
+		}
+	})
+}
+
+// BenchmarkChange is the cost of one list change to a drawer that follows the list,
+// up to the largest fleet of the standing test.
+func BenchmarkChange(b *testing.B) {
+	for _, c := range []struct{ fleet, engines int }{{300, 80}, {300, 1280}, {900, 3200}} {
+		b.Run(fmt.Sprintf("%dx%d", c.fleet, c.engines), func(b *testing.B) {
+			list, p := engines(c.engines), Plan{Self: 17, Fleet: c.fleet, PerFront: Auto, Piece: 4}
+			var d Drawer
+			d.Draw(p, list)
+			b.ReportAllocs()
+			for k := 0; b.Loop(); k++ {
+				list[k%len(list)].Usable = !list[k%len(list)].Usable
+				d.Draw(p, list)
+			}
+		})
+	}
+}
+
 // BenchmarkSubset is the cost of one list change at the sizes of the fleet days
 // and of the mass days.
 func BenchmarkSubset(b *testing.B) {
--- a/internal/node/desk.go
+++ b/internal/node/desk.go
@@ -112,6 +112,9 @@
 		return
 	case out:
 		d.out[id] = true
+		if d.n.table.pin(id) {
+			d.n.showEngines()
+		}
 		d.n.loop.Logf("engine %s taken out by hand", id)
 	default:
 		delete(d.out, id)
@@ -267,7 +270,7 @@
 			o := n.front.Count.Classes[i]
 			by[c.Name] = calls{o.Served, o.Refused, o.Failed}
 		}
-		listed, avoided := n.loop.core.Hosts()
+		listed, avoided := n.hosts()
 		b, _ = json.Marshal(map[string]any{"calls": by, "inflight": n.loop.Open(), "backend_calls": n.pool.Taken(),
 			"hosts_listed": listed, "hosts_down": avoided, "reconfig_ok": n.count.Reloads,
 			"reconfig_failed": n.count.BadReloads})
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -154,3 +154,48 @@
 		t.Errorf("parts at %d engines of %d", len(parts), len(list))
 	}
 }
+
+// The decisions are shown no more engines than they may use, what is draining or
+// has just gone, and what an operator has named; what had gone before is forgotten,
+// so that the list does not grow with every engine that there ever was.
+func TestDecisionsAreShownTheSubset(t *testing.T) {
+	tb := newTable(fleet.Plan{Self: 5, Fleet: 300, PerFront: fleet.Auto}, []int{8})
+	list := listOf(400)
+	whole := subsetOf(tb.apply(true, list))
+	shown := tb.update()
+	if in := subsetOf(shown); len(shown) != len(whole) || fmt.Sprint(in) != fmt.Sprint(whole) {
+		t.Fatalf("shown %d, usable %v, want %v", len(shown), in, whole)
+	}
+	var outside string
+	for _, e := range list {
+		if !whole[e.ID] {
+			outside = e.ID
+			break
+		}
+	}
+	if !tb.pin(outside) || tb.pin(outside) || tb.pin(shown[0].ID) || tb.pin("never listed") {
+		t.Error("an engine is hidden until it is named, once, and only if it is listed and outside the subset")
+	}
+	if in := tb.update(); len(in) != len(shown)+1 || subsetOf(in)[outside] {
+		t.Errorf("shown %d with one named by an operator, %d before; it may be used: %v", len(in), len(shown), subsetOf(in)[outside])
+	}
+	leaving, gone := shown[0], shown[1]
+	leaving.Draining, gone.Gone = true, true
+	tb.merge(false, []control.EngineInfo{leaving, gone})
+	states := map[string]control.EngineInfo{}
+	for _, e := range tb.update() {
+		states[e.ID] = e
+	}
+	if !states[leaving.ID].Draining || !states[gone.ID].Gone || tb.listed() != len(list)-1 {
+		t.Errorf("leaving %+v, gone %+v, %d listed", states[leaving.ID], states[gone.ID], tb.listed())
+	}
+	for k := range 1000 {
+		tb.merge(false, []control.EngineInfo{{ID: fmt.Sprint("n", k)}})
+		tb.update()
+		tb.merge(false, []control.EngineInfo{{ID: fmt.Sprint("n", k), Gone: true}})
+		tb.update()
+	}
+	if len(tb.hosts) != len(list)-1 || len(tb.at) != len(tb.hosts) {
+		t.Errorf("%d engines are kept of %d that are listed", len(tb.hosts), len(list)-1)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -381,7 +381,20 @@
 	}
 	n.loop.Logf("fleet: %d of %d front ends count", fleet, len(alive))
 	n.loop.apply(core.Fleet{Alive: fleet})
-	n.loop.apply(core.EngineList{Whole: true, Engines: n.table.apply(false, nil)})
+	n.showEngines()
+}
+
+// showEngines tells the decisions which engines there are for them.
+func (n *Node) showEngines() {
+	n.loop.apply(core.EngineList{Whole: true, Engines: n.table.update()})
+}
+
+// hosts counts the engines in the board's list, and those of them that this front
+// end does not use now: outside its subset, draining, out by hand or avoided.
+func (n *Node) hosts() (listed, avoided int) {
+	shown, unused := n.loop.core.Hosts()
+	listed = n.table.listed()
+	return listed, listed - (shown - unused)
 }
 
 // heard takes a datagram. What is not of the decisions belongs to the group, and
@@ -492,7 +505,7 @@
 // notices applies what the notice board tells. The decisions hear of an
 // engine's address by its id only.
 func (n *Node) notices(ns *board.Notices) {
-	began := n.loop.Now()
+	began, changed := n.loop.Now(), false
 	defer func() {
 		n.count.Listed = len(n.table.hosts)
 		n.count.WorstNotice = max(n.count.WorstNotice, n.loop.Now()-began)
@@ -529,10 +542,15 @@
 		if e.Pool.Whole {
 			n.pool.Only(listed)
 		}
-		n.loop.apply(core.EngineList{Whole: true, Engines: n.table.apply(e.Pool.Whole, list)})
-		n.pool.Withdraw() // once the decisions know, or they would send there again
+		n.table.merge(e.Pool.Whole, list)
+		changed = true
 	}
 	n.rev = max(n.rev, ns.Rev)
+	if changed {
+		// Once for all events that came together: a subset is drawn anew each time.
+		n.showEngines()
+		n.pool.Withdraw() // once the decisions know, or they would send there again
+	}
 }
 
 func (n *Node) report() any {
