--- a/internal/acceptance/rig_test.go
+++ b/internal/acceptance/rig_test.go
@@ -128,6 +128,17 @@
 	return fr
 }
 
+// withKnown returns a configuration with what a board has told so far.
+func withKnown(text []byte, b *standin.Board) []byte {
+	var config map[string]any
+	if json.Unmarshal(text, &config) != nil {
+		return text
+	}
+	config["known"], _ = b.Since(0)
+	out, _ := json.Marshal(config) // it was JSON before
+	return out
+}
+
 // run starts a front end's process and waits until it takes clients.
 func (f *fleet) run(fr *front) {
 	f.t.Helper()
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -204,6 +204,9 @@
 
 // Theirs reports whether a peer has the load out, by what it told last.
 func (l *Ledger) Theirs(now float64, o Load) bool {
+	if l.size > Few { // loads are not told there, and it is asked for each engine of a decision
+		return false
+	}
 	for _, p := range l.peers {
 		if now < p.at+stale*l.turn() && slices.Contains(p.loads, o) {
 			return true
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -134,6 +134,7 @@
 	attempt int
 	conn    *conn
 	first   command // that opens it
+	pull    *pull   // what that says, unless it is a probe
 	by      float64 // when it must be written
 	stage   atomic.Int32
 	stopped bool
@@ -147,11 +148,34 @@
 	report     *control.Report
 }
 
-// command is a line to an engine, with a body if it is a PULL.
+// pull is a request to an engine, as it is decided on. How long the front end will
+// wait is said when it is written: a connection may take its time to come up, and an
+// engine must not be told more than the client has left then.
+type pull struct {
+	id, class, key string
+	until          float64
+	priority       int
+	statement      []byte
+}
+
+// line is the first line of the request at a time.
+func (q *pull) line(now float64) string {
+	key := ""
+	if q.key != "" {
+		key = ",i=" + q.key
+	}
+	return fmt.Sprintf("PULL %s c=%s,w=%d%s,nice=%d %d", q.id, q.class, max(1, int(q.until-now)), key, q.priority, len(q.statement))
+}
+
+// late reports whether it must not be written any more.
+func (ex *exchange) late(now float64) bool {
+	return ex.by > 0 && now > ex.by || ex.pull != nil && now >= ex.pull.until
+}
+
+// command is a line to an engine.
 type command struct {
 	line string
-	body []byte
-	ex   *exchange // PULL: that it opens
+	ex   *exchange // that it opens, if it opens one; a PULL's line and statement are there
 	then func()    // in the loop, once it is written
 }
 
@@ -252,13 +276,9 @@
 		p.end(ex, control.Moot)
 		return
 	}
-	wait := max(1, int(s.Until-p.host.Now()))
-	key := ""
-	if query.IdempotencyKey != "" {
-		key = ",i=" + query.IdempotencyKey
-	}
-	ex.first = command{line: fmt.Sprintf("PULL %s c=%s,w=%d%s,nice=%d %d", s.ID, p.o.Classes[class], wait, key, s.Priority,
-		len(query.Statement)), body: query.Statement, ex: ex}
+	ex.pull = &pull{id: s.ID, class: p.o.Classes[class], key: query.IdempotencyKey, until: s.Until, priority: s.Priority,
+		statement: query.Statement}
+	ex.first = command{ex: ex}
 	p.Count.Pulls++
 	m.out[attemptKey(s.ID, s.Attempt)] = ex
 	p.put(c, ex)
@@ -434,7 +454,7 @@
 		if cmd.ex == nil {
 			return false
 		}
-		if late := cmd.ex.by > 0 && now > cmd.ex.by; late || !cmd.ex.stage.CompareAndSwap(waiting, written) {
+		if late := cmd.ex.late(now); late || !cmd.ex.stage.CompareAndSwap(waiting, written) {
 			if late {
 				p.host.Post(func() { p.withdraw(cmd.ex) })
 			}
@@ -458,12 +478,14 @@
 			at := 0
 			put := func(b []byte) { w.W.Write(b); at += len(b) }
 			for i, cmd := range batch {
-				put([]byte(cmd.line))
-				put(crlf)
-				if cmd.ex != nil && !cmd.ex.probe {
-					put(cmd.body)
+				if cmd.ex != nil && cmd.ex.pull != nil {
+					put([]byte(cmd.ex.pull.line(now)))
 					put(crlf)
+					put(cmd.ex.pull.statement)
+				} else {
+					put([]byte(cmd.line))
 				}
+				put(crlf)
 				ends[i] = at
 			}
 		})
@@ -819,7 +841,7 @@
 			// Guards what waits behind a writer that stands still: it may go elsewhere
 			// long before its deadline.
 			for _, ex := range c.exchanges() {
-				if ex.by > 0 && p.host.Now() > ex.by {
+				if ex.late(p.host.Now()) {
 					p.withdraw(ex)
 				}
 			}
--- a/internal/engine/pool_test.go
+++ b/internal/engine/pool_test.go
@@ -357,3 +357,61 @@
 		t.Errorf("%d engines known", len(p.engines))
 	}
 }
+
+// An engine is told the time that is left when the request is written, however
+// long the connection took to come up, and what has no time left is not written.
+func TestDeadlineIsThatOfTheWrite(t *testing.T) {
+	here, there := pair(t)
+	h, p, c := joined(here)
+	c.up = false
+	p.Start(core.Start{ID: "a", Engine: "s-1", Until: h.Now() + 600, Priority: 1}, 0, query)
+	p.Start(core.Start{ID: "b", Engine: "s-1", Until: h.Now() + 250, Priority: 1}, 0, query)
+	h.now += 300
+	p.dialled(c, here, nil)
+	buf := make([]byte, 99)
+	there.SetReadDeadline(time.Now().Add(time.Minute))
+	n, err := there.Read(buf)
+	if got := string(buf[:n]); err != nil || !strings.HasPrefix(got, "PULL a c=load,w=300,nice=1 1\r\n") || strings.Contains(got, "PULL b") {
+		t.Errorf("%q, %v", got, err)
+	}
+	h.turn(t, 1)
+	if h.ended["b"] != control.Moot {
+		t.Errorf("%v", h.ended)
+	}
+}
+
+// Notes end nothing. A word that the protocol does not have gives the attempt up,
+// and its end is reported only when the engine has been told: until then another
+// attempt would be the second one out.
+func TestOnlyKnownWordsEndAnAttempt(t *testing.T) {
+	here, there := pair(t)
+	h, p, c := joined(here)
+	for _, id := range []string{"a", "b"} {
+		p.Start(core.Start{ID: id, Engine: "s-1", Until: 60000}, 0, query)
+	}
+	go p.write(c)
+	buf := make([]byte, 999)
+	there.SetReadDeadline(time.Now().Add(time.Minute))
+	there.Read(buf)
+	for _, fields := range []map[string]string{nil, {"note": "share", "num": "0.5"}, {"note": "share", "num": "x"}} {
+		p.answer(c, &reply{id: "a", word: event, text: "EVENT", fields: fields})
+	}
+	p.answer(c, &reply{id: "b", word: unknownWord, text: "LATER"})
+	p.answer(c, &reply{id: "b", word: unknownWord, text: "LATER"})
+	if len(h.ended) != 0 || len(c.open) != 2 || p.Count.Notes != 2 || p.Count.SpoiltNotes != 1 || p.Count.UnknownWords != 2 {
+		t.Fatalf("%v, %d open, %+v", h.ended, len(c.open), p.Count)
+	}
+	n, _ := there.Read(buf)
+	if got := string(buf[:n]); got != "KILL b\r\n" {
+		t.Errorf("the engine was told %q", got)
+	}
+	later := len(*h.later)
+	(<-h.posts)() // the word is written
+	if len(h.ended) != 0 || len(*h.later) != later+1 {
+		t.Fatalf("%v, %d timers, %d before", h.ended, len(*h.later), later)
+	}
+	(*h.later)[later]()
+	if _, a := h.ended["a"]; a || h.ended["b"] != control.Reset {
+		t.Errorf("%v", h.ended)
+	}
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -43,6 +43,7 @@
 
 // Work says what an engine does with a request.
 type Work struct {
+	First string // written as it is, at once
 	Notes []Note
 	Takes time.Duration // from the request to the answer
 	Word  string        // of the answer; empty: ACK
@@ -224,6 +225,9 @@
 // run says what an attempt's work says, as long as the attempt is open.
 func (s *session) run(a *Attempt, w Work) {
 	began := time.Now()
+	if w.First != "" {
+		s.say("%s", w.First)
+	}
 	for _, n := range w.Notes {
 		time.Sleep(time.Until(began.Add(n.After)))
 		if !s.isOpen(a) {
