--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -25,6 +25,7 @@
 // Reply is what became of a request, as its client saw it.
 type Reply struct {
 	Request
+	Front       string // the address that it was sent to
 	Sent, Ended time.Time
 	Taken       bool // it was written whole to a connection that was accepted
 	Left        bool // the client closed without an answer
@@ -51,7 +52,7 @@
 // Ask sends a request on a connection of its own, follows the paths that it is
 // given, and returns what came.
 func Ask(addr string, q Request) (r Reply) {
-	r = Reply{Request: q, Sent: time.Now()}
+	r = Reply{Request: q, Front: addr, Sent: time.Now()}
 	defer func() { r.Ended = time.Now() }()
 	c, err := net.DialTimeout("tcp", addr, time.Second)
 	if err != nil {
