--- a/internal/acceptance/faults_test.go
+++ b/internal/acceptance/faults_test.go
@@ -89,11 +89,16 @@
 	var relays []*standin.Relay
 	var hosts []standin.Host
 	for i := range *servers {
+		idle := time.Duration(0)
+		if i%3 == 0 {
+			idle = time.Duration(100+50*i) * time.Millisecond
+		}
 		e := standin.NewEngine(t, fmt.Sprintf("s-%d", i), func(a standin.Attempt) standin.Work {
 			mu.Lock()
 			defer mu.Unlock()
 			return misbehaviour(draws, a)
 		})
+		e.ClosesIdle = idle
 		r := standin.NewRelay(t, e.Addr)
 		engines, relays = append(engines, e), append(relays, r)
 		h := host(e, standin.Active)
@@ -126,9 +131,11 @@
 	defer entries.Wait()
 	for time.Now().Before(end) {
 		q := standin.Request{Class: lookup, Wait: time.Duration(300+rng.IntN(2500)) * time.Millisecond}
-		switch rng.IntN(6) {
+		switch rng.IntN(7) {
 		case 0:
 			q.Class = report
+		case 2:
+			q.Class = load
 		case 1:
 			q.Class, q.Key = entry, fmt.Sprint("key-", k)
 		}
@@ -163,7 +170,7 @@
 			_, drains := f.drained[h.ID]
 			few := len(f.drained) >= len(hosts)/3
 			if !drains && !few {
-				f.drained[h.ID] = time.Now()
+				f.drained[h.ID] = time.Now().Add(f.boardTells)
 			}
 			f.mu.Unlock()
 			if !drains && !few {
@@ -171,6 +178,10 @@
 			}
 			continue
 		}
+		if rng.IntN(5) == 0 {
+			f.hideBoard(&all, []standin.Mode{standin.HoldBack, standin.Cut}[rng.IntN(2)], 2*lasts)
+			continue
+		}
 		mode := []standin.Mode{standin.HoldBack, standin.Cut}[rng.IntN(2)]
 		relays[k].Set(mode)
 		all.Go(func() {
@@ -180,8 +191,25 @@
 	}
 }
 
+// hideBoard puts a fault on the way to the notice board for a time. What is told
+// from then on counts as told toldAtLatest later.
+func (f *fleet) hideBoard(all *sync.WaitGroup, m standin.Mode, lasts time.Duration) {
+	f.mu.Lock()
+	hidden := f.boardTells > 0
+	f.boardTells = toldAtLatest
+	f.mu.Unlock()
+	if hidden {
+		return
+	}
+	f.boardWay.Set(m)
+	all.Go(func() {
+		time.Sleep(lasts)
+		f.boardWay.Set(standin.Pass)
+	})
+}
+
 // restart sends front ends the signals of a release: SIGHUP on the way, and SIGTERM
-// and a start anew, one after another. A client that finds nobody there asks later.
+// or SIGKILL and a start anew, one after another. A client that finds nobody there asks later.
 func (f *fleet) restart(rng *rand.Rand, end time.Time) {
 	for time.Until(end) > 2*time.Second {
 		time.Sleep(time.Duration(500+rng.IntN(1000)) * time.Millisecond)
@@ -192,10 +220,18 @@
 		}
 		f.mu.Lock()
 		f.restarts[fr.addr] = append(f.restarts[fr.addr], time.Now())
+		kills := rng.IntN(3) == 0
+		if kills {
+			f.kills[fr.addr] = append(f.kills[fr.addr], time.Now())
+		}
 		f.mu.Unlock()
-		fr.prog.Signal(syscall.SIGTERM)
-		if code := fr.prog.Wait(); code != 0 {
-			f.t.Errorf("a front end ended with %d after SIGTERM", code)
+		if kills {
+			fr.prog.Kill()
+		} else {
+			fr.prog.Signal(syscall.SIGTERM)
+			if code := fr.prog.Wait(); code != 0 {
+				f.t.Errorf("a front end ended with %d after SIGTERM", code)
+			}
 		}
 		f.refresh(fr)
 		f.run(fr)
--- a/internal/acceptance/rig_test.go
+++ b/internal/acceptance/rig_test.go
@@ -22,12 +22,14 @@
 	sockets  int
 }
 
-// The classes of the settings: a lookup and a report that may be repeated, and an
-// entry whose repeats engines drop by its key, in order by another key.
+// The classes of the settings: a lookup and a report that may be repeated, an entry
+// whose repeats engines drop by its idempotency key, in order by another key, and a
+// load that must not run twice.
 const (
 	lookup = "lookup"
 	report = "report"
 	entry  = "entry"
+	load   = "load"
 )
 
 const (
@@ -37,6 +39,10 @@
 	spareAttempts   = 2
 	extraPerRequest = 0.1
 	countedOver     = 5 * time.Second
+
+	// toldAtLatest is when what the board has to tell counts as told, though it is
+	// out of reach.
+	toldAtLatest = 7 * time.Second
 )
 
 func (d deployment) settings(ordinal int) map[string]any {
@@ -50,12 +56,12 @@
 	}
 	return map[string]any{
 		"categories": []any{class(lookup, "pure", 1000, 5000, 1, false), class(report, "pure", 2000, 20000, 6, false),
-			class(entry, "token", 3000, 20000, 4, true)},
+			class(entry, "token", 3000, 20000, 4, true), class(load, "side_effect", 3000, 20000, 4, false)},
 		"hostTypes": []string{"std"}, "localities": []string{"here"}, "discovery": "push",
 		"replicasOfMe": replicas, "ordinal": ordinal, "tickMs": 5, "overShareWorth": 0.2,
 		"customers": []any{map[string]any{"name": "first", "allowancePerS": 100}, map[string]any{"name": "second", "allowancePerS": 50}},
-		"domain": map[string]any{"coresByKind": []int{d.cores}, "memoryByKindMb": []float64{16384}, "dop": []int{1, 4, 2},
-			"classLoad": []bool{false, false, true}, "blockedByLoads": []bool{true, true, false}, "progressMs": 300},
+		"domain": map[string]any{"coresByKind": []int{d.cores}, "memoryByKindMb": []float64{16384}, "dop": []int{1, 4, 2, 2},
+			"classLoad": []bool{false, false, true, true}, "blockedByLoads": []bool{true, true, false, false}, "progressMs": 300},
 		"reporting": map[string]any{"via": "none"},
 		"contract": map[string]any{"graceToAnswerMs": 20, "stopSendingWithinMs": drainGrace.Milliseconds(), "orderSettleMs": orderSettle.Milliseconds(),
 			"spareAttempts": spareAttempts, "extraPerRequest": extraPerRequest, "countedOverMs": countedOver.Milliseconds(), "fallMultiple": 3, "fallMs": 1500, "coldShare": 0.31, "warmWithinMs": 15000},
@@ -70,14 +76,19 @@
 	d       deployment
 	engines []*standin.Engine
 	board   *standin.Board
-	fronts  []*front
+	// boardAddr leads to the board through boardWay.
+	boardAddr string
+	boardWay  *standin.Relay
+	fronts    []*front
 
 	mu      sync.Mutex
 	replies []standin.Reply
 	drained map[string]time.Time
-	// restarts are when front ends were told to end, by address.
-	restarts map[string][]time.Time
-	asked    int
+	// restarts are when front ends were told to end or killed, by address, and kills
+	// when they were killed.
+	restarts, kills map[string][]time.Time
+	boardTells      time.Duration // after which a word of the board counts as told
+	asked           int
 }
 
 // front is one front end; its process may come and go.
@@ -99,7 +110,9 @@
 // startOn starts the front ends with a list of its own that leads to the engines.
 func startOn(t *testing.T, d deployment, engines []*standin.Engine, hosts []standin.Host) *fleet {
 	t.Helper()
-	f := &fleet{t: t, d: d, engines: engines, drained: map[string]time.Time{}, restarts: map[string][]time.Time{}, board: standin.NewBoard(t, hosts)}
+	board := standin.NewBoard(t, hosts)
+	way := standin.NewRelay(t, board.Addr)
+	f := &fleet{t: t, d: d, engines: engines, boardAddr: way.Addr, boardWay: way, drained: map[string]time.Time{}, restarts: map[string][]time.Time{}, kills: map[string][]time.Time{}, board: board}
 	for i := range d.fronts {
 		f.fronts = append(f.fronts, f.front(i))
 	}
@@ -123,7 +136,7 @@
 		sockets = 1024
 	}
 	text, err := json.Marshal(map[string]any{"name": fmt.Sprintf("n%d", i), "listen": fr.addr, "seed": fmt.Sprintf("%016x", 77+i),
-		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": sockets}, "board": f.board.Addr, "known": known,
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": sockets}, "board": f.boardAddr, "known": known,
 		"settings": f.d.settings(i)})
 	if err != nil {
 		f.t.Fatal(err)
@@ -184,7 +197,7 @@
 func (f *fleet) broken() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	rules := standin.Rules{InOrder: map[string]bool{entry: true}, OrderSettle: orderSettle, DrainGrace: drainGrace, Rows: rowsOf,
+	rules := standin.Rules{InOrder: map[string]bool{entry: true}, Unsafe: map[string]bool{load: true}, Kills: f.kills, OrderSettle: orderSettle, DrainGrace: drainGrace, Rows: rowsOf,
 		Drained: f.drained, Restarts: f.restarts, Budget: standin.Budget{Spare: spareAttempts, Share: extraPerRequest, Window: countedOver}}
 	return rules.Check(f.replies, f.engines)
 }
--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -21,11 +21,13 @@
 // Rules are what the settings say about the rules.
 type Rules struct {
 	InOrder     map[string]bool // classes whose requests with one key run in turn
+	Unsafe      map[string]bool // classes that must not run twice
 	OrderSettle time.Duration   // for which a key rests after an attempt that may run on
 	DrainGrace  time.Duration
 	Rows        func(id string) [][]string // that an engine makes for a request
 	Drained     map[string]time.Time       // engines, and when the board told that they leave
-	Restarts    map[string][]time.Time     // front ends, and when they were told to end
+	Restarts    map[string][]time.Time     // front ends, and when they were told to end or killed
+	Kills       map[string][]time.Time     // and when they were killed: what they had open went with them
 	Budget      Budget
 }
 
@@ -66,6 +68,7 @@
 			report("form: engines got %s, which no client sent", id)
 			continue
 		}
+		broken = append(broken, rules.checkUnsafe(r, list)...)
 		for i, a := range list {
 			for _, w := range passedOn(r, a) {
 				report("form: %s at %s: %s", id, a.Engine, w)
@@ -140,6 +143,28 @@
 	return keys
 }
 
+// checkUnsafe checks that what must not run twice was sent again, or refused, only
+// where every attempt before provably never ran.
+func (rules *Rules) checkUnsafe(r *Reply, list []Attempt) (broken []string) {
+	if !rules.Unsafe[r.Class] {
+		return nil
+	}
+	for i, a := range list {
+		if !a.mayHaveRun() {
+			continue
+		}
+		if i+1 < len(list) {
+			broken = append(broken, fmt.Sprintf("duplicate: unsafe %s may have run at %s (its end: %s %s) and was sent to %s", r.ID, a.Engine,
+				endOf(a), a.Word, list[i+1].Engine))
+		}
+		if r.Status == 503 || r.Status == 429 {
+			broken = append(broken, fmt.Sprintf("duplicate: unsafe %s may have run at %s (its end: %s %s) and was refused", r.ID, a.Engine,
+				endOf(a), a.Word))
+		}
+	}
+	return broken
+}
+
 // passedOn returns in what an attempt differs from its client's request.
 func passedOn(r *Reply, a Attempt) (wrong []string) {
 	if a.Fields["c"] != r.Class {
@@ -180,7 +205,7 @@
 
 // checkReply checks that a request that was taken got one whole answer in time.
 func (rules *Rules) checkReply(r *Reply) (broken []string) {
-	if !r.Taken || r.Left {
+	if !r.Taken || r.Left || rules.killed(r) {
 		return nil
 	}
 	after := r.Ended.Sub(r.Sent)
@@ -195,6 +220,13 @@
 	return broken
 }
 
+// killed reports whether the front end of a request was killed while that was open.
+func (rules *Rules) killed(r *Reply) bool {
+	return slices.ContainsFunc(rules.Kills[r.Front], func(t time.Time) bool {
+		return !t.Before(r.Sent.Add(-Slack)) && !t.After(r.Ended.Add(Slack))
+	})
+}
+
 // checkOrder checks that requests of one key that one front end took ran one at a
 // time, in the order in which their clients sent them. Clients of one key must
 // have left time between any two.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -33,6 +34,7 @@
 	Statement         string
 	Came, Ended       time.Time
 	End               End
+	Word              string // of the last answer, where it was answered
 }
 
 // Note is an answer that comes before the end.
@@ -53,11 +55,19 @@
 	Reset bool          // the connection is reset instead of an answer
 }
 
+// mayHaveRun reports whether nothing on record proves that the attempt never ran.
+func (a *Attempt) mayHaveRun() bool {
+	return a.End != Answered || a.Word != "AGAIN" && a.Word != "STALE"
+}
+
 // Engine is a stand-in for an engine.
 type Engine struct {
 	ID, Addr string
 	// Do says what becomes of a request; nil: it is answered at once.
 	Do func(a Attempt) Work
+	// ClosesIdle is for how long a connection may say nothing before the engine closes
+	// it, where nothing is open on it; 0: for good.
+	ClosesIdle time.Duration
 
 	mu       sync.Mutex
 	attempts []*Attempt
@@ -156,7 +166,7 @@
 	defer s.closed()
 	r := bufio.NewReader(s.c)
 	for {
-		line, err := r.ReadString('\n')
+		line, err := s.nextLine(r)
 		if err != nil {
 			return
 		}
@@ -190,6 +200,31 @@
 	}
 }
 
+// nextLine reads a line; it fails where the connection has been idle for too long.
+func (s *session) nextLine(r *bufio.Reader) (string, error) {
+	for {
+		if s.e.ClosesIdle > 0 {
+			s.c.SetReadDeadline(time.Now().Add(s.e.ClosesIdle))
+		}
+		_, err := r.Peek(1)
+		var timeout net.Error
+		if errors.As(err, &timeout) && timeout.Timeout() && s.busy() {
+			continue
+		} else if err != nil {
+			return "", err
+		}
+		s.c.SetReadDeadline(time.Time{})
+		return r.ReadString('\n')
+	}
+}
+
+// busy reports whether an attempt is open on the connection.
+func (s *session) busy() bool {
+	s.e.mu.Lock()
+	defer s.e.mu.Unlock()
+	return len(s.open) > 0
+}
+
 func (s *session) violation(format string, args ...any) {
 	s.e.mu.Lock()
 	defer s.e.mu.Unlock()
@@ -245,9 +280,9 @@
 		reset(s.c)
 	case w.Raw != "":
 		s.say("%s", w.Raw)
-		s.end(a.ID, Answered)
+		s.answered(a.ID, "ACK")
 	case w.Word != "" && w.Word != "ACK":
-		s.end(a.ID, Answered)
+		s.answered(a.ID, w.Word)
 		s.say("%s %s - 0\r\n\r\n", a.ID, w.Word)
 	default:
 		pages := w.Pages
@@ -257,7 +292,7 @@
 		s.e.mu.Lock()
 		s.pages[a.ID] = pages
 		s.e.mu.Unlock()
-		s.end(a.ID, Answered)
+		s.answered(a.ID, "ACK")
 		s.say("%s ACK batches=%d,cpu=10,used=4 %d\r\n%s\r\n", a.ID, len(pages), len(pages[0]), pages[0])
 	}
 }
@@ -281,6 +316,16 @@
 	return s.open[a.ID] == a
 }
 
+// answered notes an attempt's last answer, if it is open.
+func (s *session) answered(id, word string) {
+	s.e.mu.Lock()
+	if a := s.open[id]; a != nil {
+		a.Word = word
+	}
+	s.e.mu.Unlock()
+	s.end(id, Answered)
+}
+
 // end notes an attempt's end, if it is open.
 func (s *session) end(id string, how End) {
 	s.e.mu.Lock()
--- a/internal/testprog/testprog.go
+++ b/internal/testprog/testprog.go
@@ -144,6 +144,13 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
+// Kill ends the program at once, and returns when it has ended.
+func (p *Program) Kill() {
+	p.t.Helper()
+	p.Signal(syscall.SIGKILL)
+	p.Wait()
+}
+
 // Stop ends the program by SIGTERM and returns the counters that it prints.
 func (p *Program) Stop() map[string]any {
 	p.t.Helper()
