--- a/internal/acceptance/faults_test.go
+++ b/internal/acceptance/faults_test.go
@@ -89,16 +89,15 @@
 	var relays []*standin.Relay
 	var hosts []standin.Host
 	for i := range *servers {
-		idle := time.Duration(0)
-		if i%3 == 0 {
-			idle = time.Duration(100+50*i) * time.Millisecond
-		}
-		e := standin.NewEngine(t, fmt.Sprintf("s-%d", i), func(a standin.Attempt) standin.Work {
+		e := &standin.Engine{ID: fmt.Sprintf("s-%d", i), Do: func(a standin.Attempt) standin.Work {
 			mu.Lock()
 			defer mu.Unlock()
 			return misbehaviour(draws, a)
-		})
-		e.ClosesIdle = idle
+		}}
+		if i%3 == 0 {
+			e.ClosesIdle = time.Duration(100+50*i) * time.Millisecond
+		}
+		e.Start(t)
 		r := standin.NewRelay(t, e.Addr)
 		engines, relays = append(engines, e), append(relays, r)
 		h := host(e, standin.Active)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -79,7 +79,16 @@
 // NewEngine starts an engine on a free loopback address; it ends with the test.
 func NewEngine(t testing.TB, id string, do func(Attempt) Work) *Engine {
 	t.Helper()
-	e := &Engine{ID: id, Do: do, words: map[string]int{}, conns: map[net.Conn]bool{}}
+	e := &Engine{ID: id, Do: do}
+	e.Start(t)
+	return e
+}
+
+// Start starts an engine whose ID, Do and ClosesIdle are set on a free loopback
+// address; it ends with the test.
+func (e *Engine) Start(t testing.TB) {
+	t.Helper()
+	e.words, e.conns = map[string]int{}, map[net.Conn]bool{}
 	e.Addr = Listen(t, func(c net.Conn) {
 		e.mu.Lock()
 		e.conns[c] = true
@@ -89,7 +98,6 @@
 		delete(e.conns, c)
 		e.mu.Unlock()
 	})
-	return e
 }
 
 // Listen serves connections on a free loopback address until the test ends.
