One bad entry of the board's list hides nothing of what it tells

An engine in an unknown state, or without a usable address, had the whole answer refused, and the same events asked for again for good, so that no drain or start behind it was ever heard. Such an answer is still asked for once more; told so twice, the entry counts as leaving and all else is taken. TestOneBadEntryHidesNothing does not end without it.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -70,18 +70,60 @@
 			if h.ID == "" {
 				return errors.New("an engine without a name")
 			}
-			switch h.Health {
-			case "active", "leaving":
+			if err := h.check(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// The states of an engine.
+const (
+	Active  = "active"
+	Leaving = "leaving"
+	Left    = "left"
+)
+
+// check reports what is wrong with an engine that has a name.
+func (h *Host) check() error {
+	switch h.Health {
+	case Active, Leaving:
+		if _, _, err := net.SplitHostPort(h.Dial); err != nil {
+			return fmt.Errorf("engine %q: address %q", h.ID, h.Dial)
+		}
+	case Left:
+	default:
+		return fmt.Errorf("engine %q: state %q", h.ID, h.Health)
+	}
+	return nil
+}
+
+// nowhere stands for an address that can't be used.
+const nowhere = "127.0.0.1:0"
+
+// repair makes the best of engines that can't be used as they are told: one in a
+// state that is not known, or without an address, gets nothing new, as if it were
+// leaving, and one without a name is left out. It returns how many there were.
+func (n *Notices) repair() (repaired int) {
+	for _, e := range n.Notices {
+		if e.Pool == nil {
+			continue
+		}
+		before := len(e.Pool.Hosts)
+		e.Pool.Hosts = slices.DeleteFunc(e.Pool.Hosts, func(h Host) bool { return h.ID == "" })
+		repaired += before - len(e.Pool.Hosts)
+		for i := range e.Pool.Hosts {
+			if h := &e.Pool.Hosts[i]; h.check() != nil {
+				h.Health = Leaving
 				if _, _, err := net.SplitHostPort(h.Dial); err != nil {
-					return fmt.Errorf("engine %q: address %q", h.ID, h.Dial)
+					h.Dial = nowhere
 				}
-			case "left":
-			default:
-				return fmt.Errorf("engine %q: state %q", h.ID, h.Health)
+				repaired++
 			}
 		}
 	}
-	return nil
+	return repaired
 }
 
 // What the notice board has to tell counts as told 2 s after a break, and 2 s
@@ -99,11 +141,14 @@
 
 // Follow polls the notice board for what comes after rev, until ctx ends, and
 // hands over what it tells, in order. Garbage or silence drops the connection:
-// the same events are asked for again on a new one.
+// the same events are asked for again on a new one. Where an engine among them is
+// told so that it can't be used, twice in a row, it is taken for one that is leaving:
+// one word that is not known must not hide all that comes after it.
 func Follow(ctx context.Context, addr string, rev int64, tell func(*Notices), trouble func(error)) {
 	wait := retryFirst
+	f := follower{addr: addr, rev: rev, refused: -1, tell: tell, trouble: trouble}
 	for {
-		told, err := follow(ctx, addr, &rev, tell)
+		told, err := f.follow(ctx)
 		if ctx.Err() != nil {
 			return
 		}
@@ -120,8 +165,33 @@
 	}
 }
 
-func follow(ctx context.Context, addr string, rev *int64, tell func(*Notices)) (told bool, err error) {
-	nc, err := (&net.Dialer{Timeout: dialIn}).DialContext(ctx, "tcp", addr)
+// follower is what one call of Follow keeps over its connections.
+type follower struct {
+	addr    string
+	rev     int64 // of the last event that was told
+	refused int64 // rev after which an answer was refused last; -1: none was
+	tell    func(*Notices)
+	trouble func(error)
+}
+
+// check reports whether an answer can be used, and repairs one that was refused
+// before.
+func (f *follower) check(n *Notices) error {
+	n.Order()
+	err := n.Check()
+	if err == nil {
+		return nil
+	}
+	if f.refused != f.rev {
+		f.refused = f.rev
+		return err
+	}
+	f.trouble(fmt.Errorf("%v, told twice: %d engines are taken for leaving", err, n.repair()))
+	return n.Check()
+}
+
+func (f *follower) follow(ctx context.Context) (told bool, err error) {
+	nc, err := (&net.Dialer{Timeout: dialIn}).DialContext(ctx, "tcp", f.addr)
 	if err != nil {
 		return false, err
 	}
@@ -132,16 +202,19 @@
 	b := lines.New(nc, 16<<10)
 	for {
 		asked := time.Now()
-		n, err := poll(nc, b, addr, *rev)
+		n, err := poll(nc, b, f.addr, f.rev)
+		if err == nil {
+			err = f.check(n)
+		}
 		if err != nil {
 			return told, err
 		}
-		if n.Rev <= *rev && time.Since(asked) < spinGap {
+		if n.Rev <= f.rev && time.Since(asked) < spinGap {
 			time.Sleep(spinGap) // guards the core against a board that doesn't wait
 		}
-		if told = true; n.Rev > *rev && ctx.Err() == nil {
-			*rev = n.Rev
-			tell(n)
+		if told = true; n.Rev > f.rev && ctx.Err() == nil {
+			f.rev = n.Rev
+			f.tell(n)
 		}
 	}
 }
@@ -164,8 +237,7 @@
 	if err := json.Unmarshal(body, &n); err != nil {
 		return nil, err
 	}
-	n.Order()
-	return &n, n.Check()
+	return &n, nil
 }
 
 // readAnswer reads an HTTP answer with a body of stated length or in chunks.
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -120,3 +122,58 @@
 		t.Errorf("told %v, want %v", got, want)
 	}
 }
+
+// An answer with an engine in a state that is not known, without an address or
+// without a name is refused and asked for again; told so twice, that engine counts as
+// leaving, and the drains and starts told beside it and after it are not lost.
+func TestOneBadEntryHidesNothing(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	events := []string{`{"rev":1,"pool":{"hosts":[{"host":"a","health":"resting","dial":"127.0.0.1:1"},{"host":"b","health":"active"},` +
+		`{"health":"active","dial":"127.0.0.1:1"},{"host":"c","health":"left"}]}}`,
+		`{"rev":2,"pool":{"hosts":[{"host":"d","health":"leaving","dial":"127.0.0.1:2"}]}}`}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				b := lines.New(c, 16<<10)
+				for {
+					first, _, err := b.Head()
+					if err != nil {
+						return
+					}
+					from := 0
+					fmt.Sscanf(first, "GET /board/poll?watch=%d", &from)
+					until := min(from+1, len(events))
+					body := fmt.Sprintf(`{"rev":%d,"notices":[%s]}`, until, strings.Join(events[from:until], ","))
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+				}
+			}()
+		}
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), testprog.Patience)
+	defer cancel()
+	states := map[string]string{}
+	troubles := 0
+	Follow(ctx, l.Addr().String(), 0, func(n *Notices) {
+		for _, e := range n.Notices {
+			for _, h := range e.Pool.Hosts {
+				states[h.ID] = h.Health
+			}
+		}
+		if n.Rev == 2 {
+			cancel()
+		}
+	}, func(error) { troubles++ })
+	want := map[string]string{"a": Leaving, "b": Leaving, "c": Left, "d": Leaving}
+	if !maps.Equal(states, want) || troubles != 2 {
+		t.Errorf("told %v after %d troubles, want %v after 2", states, troubles, want)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -531,12 +531,12 @@
 		for _, h := range e.Pool.Hosts {
 			list = append(list, control.EngineInfo{ID: h.ID,
 				Zone: slices.Index(n.cfg.Settings.Localities, h.Site), Kind: slices.Index(n.cfg.Settings.HostTypes, h.Class),
-				Cell: h.Block, Size: h.Share, UpSince: h.BornMs, Draining: h.Health == "leaving", Gone: h.Health == "left"})
+				Cell: h.Block, Size: h.Share, UpSince: h.BornMs, Draining: h.Health == board.Leaving, Gone: h.Health == board.Left})
 			if n.drains++; n.drains < mostLogged {
 				n.loop.Logf("engine %s at %s: %s, born %.0f", h.ID, h.Dial, h.Health, h.BornMs)
 			}
 			n.desk.listed(h.ID)
-			n.pool.Place(h.ID, h.Dial, h.Health == "leaving", h.Health == "left")
+			n.pool.Place(h.ID, h.Dial, h.Health == board.Leaving, h.Health == board.Left)
 			listed[h.ID] = true
 		}
 		if e.Pool.Whole {
