--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -177,3 +177,53 @@
 		t.Errorf("told %v after %d troubles, want %v after 2", states, troubles, want)
 	}
 }
+
+// A board that takes longer for each answer than a silent one is waited for is
+// heard all the same, and is not asked without end meanwhile.
+func TestSlowBoardIsHeard(t *testing.T) {
+	const slow = silentFor + time.Second
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var open, most atomic.Int32
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if n := open.Add(1); n > most.Load() {
+				most.Store(n)
+			}
+			go func() {
+				defer open.Add(-1)
+				defer c.Close()
+				b := lines.New(c, 16<<10)
+				for {
+					if _, _, err := b.Head(); err != nil {
+						return
+					}
+					time.Sleep(slow)
+					body := `{"rev":1,"notices":[{"rev":1,"pool":{"hosts":[{"host":"a","health":"left"}]}}]}`
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+				}
+			}()
+		}
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), testprog.Patience)
+	defer cancel()
+	var silences int
+	Follow(ctx, l.Addr().String(), 0, func(n *Notices) { cancel() }, func(err error) {
+		if err == errSilent {
+			silences++
+		}
+	})
+	if silences == 0 || most.Load() > mostCalls {
+		t.Errorf("%d silences, %d calls at once", silences, most.Load())
+	}
+	if ctx.Err() == context.DeadlineExceeded {
+		t.Error("the board was not heard")
+	}
+}
