--- a/internal/faultrig/fleet_test.go
+++ b/internal/faultrig/fleet_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"dewhill/internal/faults"
+	"dewhill/internal/standin"
 )
 
 var (
@@ -167,7 +168,7 @@
 			from, n := f.prog.CPU(), 0
 			for b.Loop() {
 				fmt.Fprintf(c, "POST /api/v2/lookup HTTP/1.1\r\nHost: x\r\nReq-Id: %016x\r\nReq-Wait-Ms: 3000\r\nReq-Cost: 20\r\nContent-Length: 1\r\n\r\nq", n+1)
-				if status, _, _ := read(br); status != 200 {
+				if status, _, _, err := standin.ReadAnswer(br); err != nil || status != 200 {
 					b.Fatalf("status %d", status)
 				}
 				n++
--- a/internal/faultrig/rig.go
+++ b/internal/faultrig/rig.go
@@ -11,11 +11,9 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/netip"
-	"net/textproto"
 	"os"
 	"path/filepath"
 	"slices"
@@ -27,6 +25,7 @@
 	"time"
 
 	"dewhill/internal/faults"
+	"dewhill/internal/standin"
 	"dewhill/internal/testprog"
 )
 
@@ -59,8 +58,8 @@
 	t       testing.TB
 	o       Options
 	Fronts  []*Front
-	Engines []*Engine
-	Board   *Board
+	Engines []*standin.Engine
+	Board   *standin.Board
 	relays  *relays
 	began   time.Time
 	mu      sync.Mutex
@@ -93,19 +92,21 @@
 	if o.Args == nil {
 		o.Args = func(int) []string { return nil }
 	}
-	r := &Rig{t: t, o: o, began: time.Now(), asked: map[string]*asked{}, Board: newBoard(t)}
+	r := &Rig{t: t, o: o, began: time.Now(), asked: map[string]*asked{}}
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Logf("seed %d; history:\n%s", o.Seed, r.History())
 		}
 	})
-	var hosts []string
+	var hosts []standin.Host
 	for i := range o.Engines {
-		e := newEngine(t, fmt.Sprintf("s-%02d", i))
+		e := standin.NewEngine(t, fmt.Sprintf("s-%02d", i), func(standin.Attempt) standin.Work {
+			return standin.Work{Takes: 5 * time.Millisecond, Pages: []string{"a\tb\tc\n"}}
+		})
 		r.Engines = append(r.Engines, e)
-		hosts = append(hosts, fmt.Sprintf(`{"host":%q,"dial":%q,"site":"here","class":"std-8","health":"active","share":1}`, e.ID, e.Addr))
+		hosts = append(hosts, standin.Host{ID: e.ID, Dial: e.Addr, Site: "here", Class: "std-8", Health: standin.Active, Share: 1})
 	}
-	r.Board.Tell(true, strings.Join(hosts, ","))
+	r.Board = standin.NewBoard(t, hosts)
 	var at []netip.AddrPort
 	for i := range o.Size {
 		at = append(at, freeUDP(t, net.IPv4(127, 1, 0, byte(i+1))))
@@ -138,11 +139,11 @@
 		if err := os.WriteFile(f.toml, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		known, _ := r.Board.since(0)
+		known, _ := r.Board.Since(0)
 		cfg, _ := json.Marshal(map[string]any{"name": f.Name, "listen": f.Addr, "seed": fmt.Sprintf("%016x", o.Seed<<8+uint64(i)),
 			"limits":      map[string]any{"cores": 1, "memory_mb": 192, "sockets": 512},
 			"peer_listen": at[i].String(), "peers": peers, "board": r.Board.Addr, "control": f.Door,
-			"known": json.RawMessage(known), "settings": json.RawMessage(fmt.Sprintf(settings, o.Size, i))})
+			"known": known, "settings": json.RawMessage(fmt.Sprintf(settings, o.Size, i))})
 		f.path = filepath.Join(t.TempDir(), "config.json")
 		if err := os.WriteFile(f.path, cfg, 0o600); err != nil {
 			t.Fatal(err)
@@ -338,26 +339,10 @@
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(10 * time.Second))
 	fmt.Fprintf(c, "%s /control/%s HTTP/1.1\r\nHost: x\r\n\r\n", method, path)
-	status, _, body = read(bufio.NewReader(c))
-	return status, body
-}
-
-func read(r *bufio.Reader) (status int, h textproto.MIMEHeader, body []byte) {
-	tp := textproto.NewReader(r)
-	line, err := tp.ReadLine()
-	if err != nil {
-		return 0, nil, nil
-	}
-	fmt.Sscanf(line, "HTTP/1.1 %d", &status)
-	if h, err = tp.ReadMIMEHeader(); err != nil {
-		return 0, nil, nil
-	}
-	n, _ := strconv.Atoi(h.Get("Content-Length"))
-	body = make([]byte, n)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return 0, nil, nil
+	if status, _, body, err = standin.ReadAnswer(bufio.NewReader(c)); err != nil {
+		return 0, nil
 	}
-	return status, h, body
+	return status, body
 }
 
 // Clients send requests until stop is closed, each to a front end drawn by the
@@ -402,8 +387,8 @@
 	fmt.Fprintf(c, "POST /api/v2/%s HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\nReq-Wait-Ms: 3000\r\nReq-Cost: 20\r\nConnection: close\r\nContent-Length: 1\r\n\r\nq", class, id)
 	br := bufio.NewReader(c)
 	for {
-		status, _, body := read(br)
-		if status == 0 {
+		status, _, body, err := standin.ReadAnswer(br)
+		if err != nil {
 			return
 		}
 		if strings.Contains(string(body), `"poll"`) && !strings.Contains(string(body), `"page"`) {
@@ -423,7 +408,7 @@
 func (r *Rig) CheckRules() (answered, served int, broken []string) {
 	ran := map[string][]string{}
 	for _, e := range r.Engines {
-		for _, x := range e.Runs() {
+		for _, x := range e.Attempts() {
 			ran[x.ID] = append(ran[x.ID], e.ID)
 		}
 	}
--- a/internal/faultrig/words_test.go
+++ b/internal/faultrig/words_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"dewhill/internal/faults"
+	"dewhill/internal/standin"
 	"dewhill/internal/testprog"
 )
 
@@ -64,13 +65,13 @@
 
 // sentTo lists requests that front ends sent to an engine after a time; from has
 // the ones that count.
-func (r *Rig) sentTo(e *Engine, after time.Time, from func(front int) bool) (list []string) {
-	for _, x := range e.Runs() {
+func (r *Rig) sentTo(e *standin.Engine, after time.Time, from func(front int) bool) (list []string) {
+	for _, x := range e.Attempts() {
 		r.mu.Lock()
 		a := r.asked[x.ID]
 		r.mu.Unlock()
-		if a != nil && x.At.After(after) && from(a.front) {
-			list = append(list, fmt.Sprintf("n%d %.0f ms later", a.front, x.At.Sub(after).Seconds()*1000))
+		if a != nil && x.Came.After(after) && from(a.front) {
+			list = append(list, fmt.Sprintf("n%d %.0f ms later", a.front, x.Came.Sub(after).Seconds()*1000))
 		}
 	}
 	return list
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"dewhill/internal/standin"
 	"dewhill/internal/testprog"
 )
 
@@ -356,7 +357,7 @@
 	a, b := newEngine(t, "s-1", newGate().answer), newEngine(t, "s-2", newGate().answer)
 	var conns atomic.Int32
 	leaving := strings.Replace(hosts(a), `"active"`, `"leaving"`, 1)
-	board := listen(t, func(c net.Conn) {
+	board := standin.Listen(t, func(c net.Conn) {
 		defer c.Close()
 		c.Read(make([]byte, 4096))
 		if conns.Add(1) > 1 { // the first stays open and says nothing
@@ -429,7 +430,7 @@
 func TestHalfALineAtTheClose(t *testing.T) {
 	e := newEngine(t, "s-1", func(id, st string) string { return "" })
 	var pulls atomic.Int32
-	e.addr = listen(t, func(c net.Conn) {
+	e.addr = standin.Listen(t, func(c net.Conn) {
 		r := make([]byte, 4096)
 		n, _ := c.Read(r)
 		if w := strings.Fields(string(r[:n])); len(w) > 1 && w[0] == "PULL" {
--- a/internal/node/standin_test.go
+++ b/internal/node/standin_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"dewhill/internal/standin"
 	"dewhill/internal/testprog"
 )
 
@@ -34,7 +35,7 @@
 
 func newEngine(t *testing.T, id string, on func(id, statement string) string) *engine {
 	e := &engine{id: id, on: on}
-	e.addr = listen(t, func(c net.Conn) {
+	e.addr = standin.Listen(t, func(c net.Conn) {
 		e.mu.Lock()
 		e.conns = append(e.conns, c)
 		e.mu.Unlock()
@@ -43,25 +44,6 @@
 	return e
 }
 
-// listen serves connections on a free address until the test ends.
-func listen(t *testing.T, serve func(net.Conn)) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return l.Addr().String()
-}
-
 func (e *engine) serve(c net.Conn) {
 	defer func() {
 		c.Close()
@@ -125,7 +107,7 @@
 
 func newBoard(t *testing.T) *board {
 	b := &board{tell: map[int]string{}}
-	b.addr = listen(t, func(c net.Conn) {
+	b.addr = standin.Listen(t, func(c net.Conn) {
 		b.mu.Lock()
 		b.conns = append(b.conns, c)
 		b.mu.Unlock()
@@ -283,21 +265,12 @@
 	Err  string     `json:"err"`
 }
 
+// read reads an answer; status 0: there is no whole one.
 func read(r *bufio.Reader) (status int, h textproto.MIMEHeader, body []byte) {
-	tp := textproto.NewReader(r)
-	line, err := tp.ReadLine()
+	status, h, body, err := standin.ReadAnswer(r)
 	if err != nil {
 		return 0, nil, nil
 	}
-	fmt.Sscanf(line, "HTTP/1.1 %d", &status)
-	if h, err = tp.ReadMIMEHeader(); err != nil {
-		return 0, nil, nil
-	}
-	n, _ := strconv.Atoi(h.Get("Content-Length"))
-	body = make([]byte, n)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return 0, nil, nil
-	}
 	return status, h, body
 }
 
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -70,7 +70,7 @@
 	r.Taken = true
 	in := bufio.NewReader(c)
 	for {
-		status, head, body, err := readAnswer(in)
+		status, head, body, err := ReadAnswer(in)
 		if err != nil {
 			timeout, ok := err.(net.Error)
 			if r.Left = q.Leaves > 0 && ok && timeout.Timeout(); !r.Left {
@@ -105,7 +105,7 @@
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(time.Second))
 	fmt.Fprint(c, "GET /-/healthy HTTP/1.1\r\nHost: origin.svc\r\n\r\n")
-	status, _, _, err := readAnswer(bufio.NewReader(c))
+	status, _, _, err := ReadAnswer(bufio.NewReader(c))
 	return err == nil && status == 200
 }
 
@@ -122,7 +122,8 @@
 	return b.String()
 }
 
-func readAnswer(r *bufio.Reader) (status int, head textproto.MIMEHeader, body []byte, err error) {
+// ReadAnswer reads an HTTP answer with a body of stated length.
+func ReadAnswer(r *bufio.Reader) (status int, head textproto.MIMEHeader, body []byte, err error) {
 	tp := textproto.NewReader(r)
 	line, err := tp.ReadLine()
 	if err != nil {
