lease: an owner that can't say whether its load ran tells the fleet at once

Seen by callers: a repeat of a load through another front end waited for its own whole deadline (up to 20 s) before it was told that the load may have run, while the front end that ran the load knew that already.

Cause: Released with RunUnknown changed the owner's own copy only. All other copies stayed Held by a live owner, so proposers decided RunningElsewhere and polled.

Evidence: TestUnknownRunIsDecidedSoon on the code before: "running elsewhere after 20000 ms, want possibly ran within 1000 ms", for each of 20 keys.

Fix: the owner proposes MayHaveRun in a round, as it proposes Free for an unused lease.

--- a/internal/lease/manager_test.go
+++ b/internal/lease/manager_test.go
@@ -50,6 +50,34 @@
 	}
 }
 
+// TestUnknownRunIsDecidedSoon guards against requests that wait until their deadline for a
+// load whose owner is alive and has reported that the load may have run.
+func TestUnknownRunIsDecidedSoon(t *testing.T) {
+	const maxDecisionMS = 1000.0
+	f := newFleet(5, 5, false, Options{})
+	f.Run(10_000)
+	for key := range 20 {
+		request := AcquireRequest{Key: testKey(key), Fingerprint: 5}
+		if d := f.request(0, request, 2500, 3000); d.Kind != Granted {
+			t.Fatalf("key %d: %+v, want it granted", key, d)
+		}
+		f.apply(0, Released{Key: testKey(key), Result: RunUnknown})
+		other := 1 + key%4
+		if d := f.request(other, request, 20_000, 21_000); d.Kind != PossiblyRan || d.ElapsedMS > maxDecisionMS {
+			t.Errorf("key %d: %v after %.0f ms, want %v within %.0f ms", key, d.Kind, d.ElapsedMS, PossiblyRan, maxDecisionMS)
+		}
+		f.Run(2000)
+		if d := f.request(0, request, 20_000, 5000); d.Kind != PossiblyRan {
+			t.Errorf("key %d: %v at its owner, want %v", key, d.Kind, PossiblyRan)
+		}
+	}
+	for i, m := range f.managers {
+		if m.Digest() != f.managers[0].Digest() || m.Counters.UnusedReleased != 0 {
+			t.Errorf("front end %d: its copy differs, or %d leases were released as unused", i, m.Counters.UnusedReleased)
+		}
+	}
+}
+
 // BenchmarkAcquire measures the cost of a lease with five front ends, including the
 // work of all of them and of the simulated network.
 func BenchmarkAcquire(b *testing.B) {
--- a/internal/lease/proposer.go
+++ b/internal/lease/proposer.go
@@ -206,17 +206,24 @@
 	return m.proposeLease(op, r)
 }
 
-// proposeRelease proposes to free an unused lease of this process.
+// proposeRelease proposes to change a lease of this process to the state of the
+// operation.
 func (m *Manager) proposeRelease(op *operation, r *record) bool {
 	read := op.round.read
-	isUnusedLease := read.State == Held && read.Owner == m.options.ProcessID && read.Generation == op.releaseGeneration &&
-		!r.running && r.grantedGeneration != read.Generation+1
-	if !isUnusedLease { // the lease is released already, or was never held
+	isOwn := read.Owner == m.options.ProcessID && read.Generation == op.releaseGeneration && !r.running
+	isUnused := read.State == Held && r.grantedGeneration != read.Generation+1
+	isUsed := read.State == Held || read.State == MayHaveRun // MayHaveRun if only this front end has recorded it
+	switch {
+	case isOwn && isUnused && op.releaseState == Free:
+		op.round.proposal = Value{Generation: read.Generation + 1}
+		return true
+	case isOwn && isUsed && op.releaseState == MayHaveRun:
+		op.round.proposal.State = MayHaveRun
+		return true
+	default: // the lease is released already, or was never held
 		op.finished = true
 		return false
 	}
-	op.round.proposal = Value{Generation: read.Generation + 1}
-	return true
 }
 
 // proposeLease proposes the value that follows from a client's request.
@@ -285,7 +292,9 @@
 	r := m.recordOf(op.key)
 	m.learn(r, op.round.ballot, op.round.proposal)
 	if op.request == nil {
-		m.Counters.UnusedReleased++
+		if op.releaseState == Free {
+			m.Counters.UnusedReleased++
+		}
 		op.finished = true
 		return
 	}
--- a/internal/lease/requests.go
+++ b/internal/lease/requests.go
@@ -71,11 +71,12 @@
 }
 
 // operation is a change of one register in progress: the acquisition of a lease for a
-// client of this front end, or the release of an unused lease.
+// client of this front end, or the release of a lease.
 type operation struct {
 	key               Key
 	request           *AcquireRequest // nil if the operation is a release
 	releaseGeneration uint32          // generation of the lease to release
+	releaseState      State           // Free if the load never ran, or MayHaveRun
 	startedAtMS       float64
 	deadlineMS        float64
 	nextActionMS      float64 // when messages are resent or the next round starts
@@ -127,9 +128,10 @@
 		m.recordOutcome(r, ev.Outcome)
 	case NeverRan:
 		r.grantedGeneration = 0
-		m.releaseUnused(r.key, r.value.Generation)
+		m.release(r.key, r.value.Generation, Free)
 	case RunUnknown: // as if the owner had left
 		r.value.State = MayHaveRun
+		m.release(r.key, r.value.Generation, MayHaveRun)
 	}
 }
 
@@ -144,11 +146,13 @@
 	m.persist(r, func() {})
 }
 
-// releaseUnused starts to release an unused lease, unless another request for the key
-// is in progress at this front end, which may take over the lease. At most one
-// operation of this process changes a lease at a time: if a round released a lease that
-// a concurrent round was just granted, two processes could run the load.
-func (m *Manager) releaseUnused(key Key, generation uint32) {
+// release starts to change a lease of this process to Free or MayHaveRun, so that
+// requests to other front ends need not wait for the owner. It does nothing if another
+// request for the key is in progress at this front end, which may take over the lease
+// or finds that the load may have run. At most one operation of this process changes a
+// lease at a time: if a round released a lease that a concurrent round was just granted,
+// two processes could run the load.
+func (m *Manager) release(key Key, generation uint32, state State) {
 	for _, op := range m.operations {
 		if op.request != nil && op.key == key && !op.finished {
 			op.mayBeHeld = true
@@ -159,6 +163,7 @@
 	m.operations = append(m.operations, &operation{
 		key:               key,
 		releaseGeneration: generation,
+		releaseState:      state,
 		startedAtMS:       m.nowMS,
 		deadlineMS:        m.nowMS + m.options.Times.ReleaseWindowMS,
 		nextActionMS:      m.nowMS,
@@ -176,7 +181,7 @@
 	default:
 		m.decide(op, NoQuorum, nil)
 		if op.mayBeHeld {
-			m.releaseUnused(op.key, op.heldGeneration)
+			m.release(op.key, op.heldGeneration, Free)
 		}
 	}
 }
