mysql: an engine's error is not recorded as a completed load

Seen by callers: with leases on, a load that its engine answered with an error, repeated through another front end, was told OK; nothing had been stored. Without leases a repeat got the recorded error for good, also where nothing had run. An engine's own 1105, 1226, 1040 or 3024 reached the client of a load as this front's "nothing ran", which it did not prove.

Cause: outcome.runResult looked at the server's own errors only. An engine's error packet is part of a result and fell to the default, lease.Completed with an OK packet.

Fix: what a code proves is one table, engineerrors.go; an unknown code proves nothing, nor does an error after rows, or of a statement that may run others (CALL, DDL). A proved error releases the lease, so that a repeat runs; any other error is RunUnknown, and repeats are told 1180.

--- a/internal/mysql/commands.go
+++ b/internal/mysql/commands.go
@@ -60,7 +60,7 @@
 		c.writeError(&Error{codeSyntax, "42000", "a parameter outside a prepared statement"})
 		return true
 	}
-	return c.runStatement(&Statement{SQL: sql, Database: c.database}, info)
+	return c.runStatement(&Statement{SQL: sql, Database: c.database, scope: info.scope}, info)
 }
 
 // inspectStatement returns the properties of a statement. If the statement can't be
--- a/internal/mysql/doc.go
+++ b/internal/mysql/doc.go
@@ -29,6 +29,7 @@
 //	session.go  connections to engines, which run one statement at a time
 //	handles.go  handles of statements that are prepared on a session
 //	result.go   reading results
+//	engineerrors.go  what the codes of engines' errors prove
 //
 // The protocol:
 //
--- a/internal/mysql/fakes_test.go
+++ b/internal/mysql/fakes_test.go
@@ -22,6 +22,7 @@
 
 	mu               sync.Mutex
 	ran              map[string]int
+	succeeded        map[string]int // runs that were answered without an error
 	connections      map[uint32]*fakeConnection
 	lastConnectionID uint32
 	prepares         int
@@ -30,8 +31,10 @@
 	// behavior is called before each step (prepare, execute or query) with the
 	// statement and returns the action to take instead of the step: "close" (close the
 	// connection), "run-close" (run the statement, then close the connection), "hang"
-	// (wait until the statement is killed), "error N" (reply with error number N), or
-	// "" for none.
+	// (wait until the statement is killed), "error N" (reply with error number N),
+	// "run-error N" (run the statement, then reply with error number N), "rows" (run the
+	// statement and reply with rows), "rows-error N" (reply with rows and then error
+	// number N), or "" for none.
 	behavior func(step, sql string) string
 }
 
@@ -46,7 +49,7 @@
 // NewFakeEngine starts an engine on a free loopback port and stops it when the test ends.
 func NewFakeEngine(t testing.TB, id, password string) *FakeEngine {
 	t.Helper()
-	e := &FakeEngine{ID: id, password: password, ran: map[string]int{}, connections: map[uint32]*fakeConnection{}}
+	e := &FakeEngine{ID: id, password: password, ran: map[string]int{}, succeeded: map[string]int{}, connections: map[uint32]*fakeConnection{}}
 	e.Addr = fakes.Listen(t, e.serve)
 	return e
 }
@@ -70,6 +73,14 @@
 	return maps.Clone(e.ran)
 }
 
+// SuccessCounts returns the number of runs of each statement that the engine answered
+// without an error.
+func (e *FakeEngine) SuccessCounts() map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.succeeded)
+}
+
 // Counts returns the number of prepared handles and the number of KILL QUERY commands.
 func (e *FakeEngine) Counts() (prepares, kills int) {
 	e.mu.Lock()
@@ -153,7 +164,7 @@
 	case comStmtPrepare:
 		sql := string(argument)
 		if action := e.actionFor("prepare", sql); action != "" {
-			return e.act(connection, action, sql)
+			return e.act(connection, "prepare", action, sql, nil)
 		}
 		e.mu.Lock()
 		e.prepares++
@@ -213,11 +224,27 @@
 	}
 }
 
-func (e *FakeEngine) act(connection *fakeConnection, action, sql string) bool {
+func (e *FakeEngine) act(connection *fakeConnection, step, action, sql string, params []Param) bool {
+	kind, number, _ := strings.Cut(action, " ")
 	var code uint16
-	switch n, _ := fmt.Sscanf(action, "error %d", &code); {
-	case n == 1:
-		connection.stream.queuePacket((&Error{code, "HY000", "error requested by the test"}).packet())
+	_, _ = fmt.Sscan(number, &code)
+	failure := (&Error{code, "HY000", "error requested by the test"}).packet()
+	switch {
+	case kind == "error":
+		connection.stream.queuePacket(failure)
+		return true
+	case kind == "run-error":
+		e.count(sql)
+		connection.stream.queuePacket(failure)
+		return true
+	case kind == "rows":
+		e.countSuccess(sql)
+		e.queueRows(connection, step, params)
+		connection.stream.queuePacket(eofPacket())
+		return true
+	case kind == "rows-error":
+		e.queueRows(connection, step, params)
+		connection.stream.queuePacket(failure)
 		return true
 	case action == "hang":
 		<-connection.killed
@@ -229,6 +256,14 @@
 	return false
 }
 
+// countSuccess counts a run that is answered without an error.
+func (e *FakeEngine) countSuccess(sql string) {
+	e.count(sql)
+	e.mu.Lock()
+	e.succeeded[sql]++
+	e.mu.Unlock()
+}
+
 func (e *FakeEngine) count(sql string) {
 	e.mu.Lock()
 	e.ran[sql]++
@@ -239,13 +274,20 @@
 // id, the row's number, a NULL and each bound value.
 func (e *FakeEngine) run(connection *fakeConnection, step, sql string, params []Param) bool {
 	if action := e.actionFor(step, sql); action != "" {
-		return e.act(connection, action, sql)
+		return e.act(connection, step, action, sql, params)
 	}
-	e.count(sql)
+	e.countSuccess(sql)
 	if !strings.HasPrefix(strings.TrimSpace(sql), "SELECT") {
 		connection.stream.queuePacket(okPacket(3, 77))
 		return true
 	}
+	e.queueRows(connection, step, params)
+	connection.stream.queuePacket(eofPacket())
+	return true
+}
+
+// queueRows queues columns and two rows, without the end of the result.
+func (e *FakeEngine) queueRows(connection *fakeConnection, step string, params []Param) {
 	n := 3 + len(params)
 	connection.stream.queuePacket(appendLengthEncodedInt(nil, uint64(n)))
 	for i := range n {
@@ -285,6 +327,4 @@
 		}
 		connection.stream.queuePacket(b)
 	}
-	connection.stream.queuePacket(eofPacket())
-	return true
 }
--- a/internal/mysql/fleet_test.go
+++ b/internal/mysql/fleet_test.go
@@ -55,8 +55,10 @@
 )
 
 // retryableCodes are the codes of errors after which a client sends its load again:
-// the load did not run, or its id prevents a second run.
-var retryableCodes = []uint16{codeTooManyConnections, codeServerShutdown, codeFailed, codeRejected, codeDeadline}
+// the load did not run, or its id prevents a second run. They include all errors of
+// engines: the repeat is told whether the load may have run.
+var retryableCodes = []uint16{codeTooManyConnections, codeServerShutdown, codeFailed, codeRejected, codeDeadline,
+	engineNoSuchTable, engineDeadlock, engineDuplicate, engineInterrupted, engineUnknownCode}
 
 // loadAnswer is the final response to a load: one of the constants below, or the text
 // of another error.
@@ -73,8 +75,10 @@
 	size     int // number of front ends
 	loads    int
 	maxRunMS int // each step of a statement takes less than this
-	mutant   *mutanttest.Mutant
-	faults   faultplan.Timeline
+	// errorRate is the part of the runs that engines answer with an error.
+	errorRate float64
+	mutant    *mutanttest.Mutant
+	faults    faultplan.Timeline
 }
 
 // loadFleet is a fleet with the MySQL front end enabled, to which clients send loads
@@ -111,7 +115,7 @@
 	t.Helper()
 	cfg, engines := newConfig(t, 3)
 	for _, e := range engines {
-		e.SetBehavior(runAtRandomLength(options.maxRunMS))
+		e.SetBehavior(runAtRandomLength(options.maxRunMS, options.errorRate))
 	}
 	var addrs, paths []string
 	for range options.size {
@@ -137,17 +141,38 @@
 	return f
 }
 
+// engineErrorActions are the errors of engines in a fleet: statements that were refused,
+// rolled back, interrupted before or after their effect, or that failed for a reason that
+// the front ends don't know.
+var engineErrorActions = []string{
+	fmt.Sprintf("error %d", engineNoSuchTable),
+	fmt.Sprintf("error %d", engineDeadlock),
+	fmt.Sprintf("error %d", codeRejected),
+	fmt.Sprintf("error %d", engineDuplicate),
+	fmt.Sprintf("run-error %d", engineDuplicate),
+	fmt.Sprintf("error %d", engineInterrupted),
+	fmt.Sprintf("run-error %d", engineInterrupted),
+	fmt.Sprintf("run-error %d", codeServerShutdown),
+	fmt.Sprintf("run-error %d", engineUnknownError),
+	fmt.Sprintf("run-error %d", engineUnknownCode),
+	fmt.Sprintf("rows-error %d", engineDeadlock),
+}
+
 // runAtRandomLength returns a behavior of an engine in which each step takes a random
-// time of less than maxMS.
-func runAtRandomLength(maxMS int) func(step, sql string) string {
+// time of less than maxMS, and in which a part of the runs is answered with an error.
+func runAtRandomLength(maxMS int, errorRate float64) func(step, sql string) string {
 	rng := rand.New(rand.NewPCG(*fleetSeed, 9))
 	var mu sync.Mutex
 	return func(string, string) string {
 		mu.Lock()
 		ms := rng.IntN(maxMS)
+		action := ""
+		if rng.Float64() < errorRate {
+			action = engineErrorActions[rng.IntN(len(engineErrorActions))]
+		}
 		mu.Unlock()
 		time.Sleep(time.Duration(ms) * time.Millisecond)
-		return ""
+		return action
 	}
 }
 
@@ -235,10 +260,14 @@
 // results compares the responses to the loads with the statements that the engines ran.
 func (f *loadFleet) results() loadResults {
 	runs := map[string]int{}
+	successes := map[string]int{}
 	for _, e := range f.engines {
 		for statement, times := range e.RunCounts() {
 			runs[statement] += times
 		}
+		for statement, times := range e.SuccessCounts() {
+			successes[statement] += times
+		}
 	}
 	var results loadResults
 	for load, answer := range f.answers {
@@ -248,17 +277,18 @@
 		if answer == mayHaveRun {
 			results.mayHaveRun++
 		}
-		if violation := ruleViolation(answer, runs[loadStatement(load)]); violation != "" {
+		if violation := ruleViolation(answer, runs[loadStatement(load)], successes[loadStatement(load)]); violation != "" {
 			results.violations = append(results.violations, fmt.Sprintf("load %d %s", load, violation))
 		}
 	}
 	return results
 }
 
-// ruleViolation describes how a load with this response and this number of runs breaks
-// the rule that each load runs at most once and gets one correct response. It returns an
-// empty string if the load keeps the rule.
-func ruleViolation(answer loadAnswer, runs int) string {
+// ruleViolation describes how a load with this response, this number of runs and of runs
+// that an engine answered without an error breaks the rule that each load runs at most
+// once and gets one correct response. It returns an empty string if the load keeps the
+// rule.
+func ruleViolation(answer loadAnswer, runs, successes int) string {
 	switch {
 	case runs > 1:
 		return fmt.Sprintf("ran %d times", runs)
@@ -270,6 +300,8 @@
 		return fmt.Sprintf("got the unexpected response %q", answer)
 	case runs != 1:
 		return fmt.Sprintf("was reported as successful, but ran %d times", runs)
+	case successes != 1:
+		return "was reported as successful, but its engine answered with an error"
 	default:
 		return ""
 	}
@@ -283,6 +315,18 @@
 	New:  "return 1",
 }
 
+// errorsCompletedMutant is a program that records a load as completed whatever its engine
+// answers.
+var errorsCompletedMutant = mutanttest.Mutant{
+	Name: "errors completed",
+	File: "internal/mysql/leases.go",
+	Old:  "	switch o.loadResult() {",
+	New: "	if o.err == nil && o.result != nil && o.result.OK == nil {\n" +
+		"		return lease.Completed, okPacket(0, 0)\n" +
+		"	}\n" +
+		"	switch o.loadResult() {",
+}
+
 // isolationWithKills returns faults that partition the first of three front ends from
 // the others and kill it repeatedly while it has loads in flight.
 func isolationWithKills() faultplan.Timeline {
@@ -297,16 +341,18 @@
 
 // TestLoadsOfTheFleetRunOnce checks that no load with an id runs twice and that each gets
 // one correct response, although clients retry loads through other front ends while front
-// ends are killed, paused and partitioned. To show that the check can fail, it also
-// requires that a program in which one vote is a majority violates the rule.
+// ends are killed, paused and partitioned and engines answer with errors. To show that the
+// check can fail, it also requires that a program in which one vote is a majority and one
+// that records errors of engines as completed loads violate the rule.
 func TestLoadsOfTheFleetRunOnce(t *testing.T) {
 	t.Run("program", func(t *testing.T) {
 		faultsMS := float64(*faultsDuration / time.Millisecond)
 		results := runLoadFleet(t, loadFleetOptions{
-			size:     *frontEndCount,
-			loads:    *loadCount,
-			maxRunMS: 150,
-			faults:   faultplan.Generate(*fleetSeed, *frontEndCount, 10, faultsMS),
+			size:      *frontEndCount,
+			loads:     *loadCount,
+			maxRunMS:  150,
+			errorRate: 0.2,
+			faults:    faultplan.Generate(*fleetSeed, *frontEndCount, 10, faultsMS),
 		})
 		t.Logf("%d loads got a response, %d of them %q", results.answered, results.mayHaveRun, mayHaveRun)
 		if len(results.violations) > 0 {
@@ -330,4 +376,18 @@
 			t.Error("the check found no violation in a program in which one vote is a majority")
 		}
 	})
+	t.Run(errorsCompletedMutant.Name, func(t *testing.T) {
+		results := runLoadFleet(t, loadFleetOptions{
+			size:      3,
+			loads:     300,
+			maxRunMS:  50,
+			errorRate: 0.2,
+			mutant:    &errorsCompletedMutant,
+			faults:    faultplan.Timeline{Seed: *fleetSeed, Size: 3},
+		})
+		t.Logf("%d violations", len(results.violations))
+		if len(results.violations) == 0 {
+			t.Error("the check found no violation in a program that records errors of engines as completed loads")
+		}
+	})
 }
--- a/internal/mysql/handles.go
+++ b/internal/mysql/handles.go
@@ -19,7 +19,7 @@
 		if engineErr.meansUnavailable() {
 			return nil, notWrittenError{engineErr}
 		}
-		return &Result{Err: engineErr}, nil
+		return refused(engineErr), nil
 	}
 	if err := a.markWritten(now()); err != nil {
 		return nil, err
@@ -28,7 +28,7 @@
 	if err := s.stream.sendCommand(comStmtExecute, encodeExecute(handle, a.statement.Params)); err != nil {
 		return nil, err
 	}
-	result, err := s.readResult(maxResultBytes)
+	result, err := s.readReply(a.statement, maxResultBytes)
 	if err == nil && result.Err != nil && result.Err.meansUnknownHandle() {
 		delete(s.handles, statementKey(a.statement))
 		return nil, notWrittenError{result.Err} // it did not run
--- a/internal/mysql/leases.go
+++ b/internal/mysql/leases.go
@@ -62,21 +62,26 @@
 	})
 }
 
-// runResult returns the result of a run for Leases.Release, and the OK packet to
-// keep. If the server answers with an error of its own other than codeMayHaveRun, the
-// load never ran. An error packet of the engine is part of a result and gives
-// Completed, although it means that the statement did nothing.
+// runResult returns the result of a run for Leases.Release, and the OK packet to keep of
+// a run that succeeded.
 func (o outcome) runResult() (lease.RunResult, []byte) {
-	switch {
-	case o.err != nil && o.err.Code == codeMayHaveRun:
-		return lease.RunUnknown, nil
-	case o.err != nil:
+	switch o.loadResult() {
+	case loadSucceeded:
+		return lease.Completed, o.result.packetToKeep()
+	case loadHadNoEffect:
 		return lease.NeverRan, nil
-	case o.result != nil && o.result.OK != nil && len(o.result.OK) <= lease.MaxOutcomeBytes:
-		return lease.Completed, o.result.OK
 	default:
-		return lease.Completed, okPacket(0, 0) // rows are not kept
+		return lease.RunUnknown, nil
+	}
+}
+
+// packetToKeep returns the OK packet that is kept of a load that succeeded. Rows are not
+// kept.
+func (r *Result) packetToKeep() []byte {
+	if r.OK == nil || len(r.OK) > lease.MaxOutcomeBytes {
+		return okPacket(0, 0)
 	}
+	return r.OK
 }
 
 // decisionOutcome converts a decision other than a usable grant to the client's
--- a/internal/mysql/loads.go
+++ b/internal/mysql/loads.go
@@ -28,6 +28,48 @@
 	waiters        []func(outcome) // callbacks of repeats
 }
 
+// loadResult says what a load's outcome means for its repeats.
+type loadResult uint8
+
+const (
+	loadMayHaveRun  loadResult = iota // the load must not run again
+	loadHadNoEffect                   // the load provably changed nothing: it may run again
+	loadSucceeded                     // an engine has run the load
+)
+
+// loadResult returns what the outcome means for repeats. If the server answers with an
+// error of its own other than codeMayHaveRun, the load never ran.
+func (o outcome) loadResult() loadResult {
+	switch {
+	case o.err != nil && o.err.Code != codeMayHaveRun:
+		return loadHadNoEffect
+	case o.err != nil || o.result == nil:
+		return loadMayHaveRun
+	case o.result.Err == nil:
+		return loadSucceeded
+	case o.result.noEffect:
+		return loadHadNoEffect
+	default:
+		return loadMayHaveRun
+	}
+}
+
+// forRepeat returns the outcome that a repeat of a load gets.
+func (o outcome) forRepeat() outcome {
+	if o.loadResult() == loadMayHaveRun {
+		return outcome{err: mayHaveRun()}
+	}
+	return o
+}
+
+// retained returns the outcome to keep for later repeats.
+func (o outcome) retained() outcome {
+	if o.err == nil && o.result != nil && o.result.rowBytes > maxRetainedResultBytes {
+		return outcome{result: &Result{OK: okPacket(0, 0)}}
+	}
+	return o
+}
+
 func (s *Server) class(t requestOptions) *simproto.Class { return &s.config.Settings.Classes[t.class] }
 
 // submitLoad accepts a load with an id. A repeat gets the outcome of the first run.
@@ -73,9 +115,9 @@
 	case load.fingerprint != fingerprint:
 		done(outcome{err: errIDConflict})
 	case load.finished:
-		done(load.outcome)
+		done(load.outcome.forRepeat())
 	default:
-		load.waiters = append(load.waiters, done)
+		load.waiters = append(load.waiters, func(o outcome) { done(o.forRepeat()) })
 		load.waitingClients++
 		c.load = load
 	}
@@ -92,15 +134,12 @@
 }
 
 // finishLoad records a load's outcome and answers all clients that wait for it. It
-// removes the record of a load that provably never ran, so that a repeat may run.
+// removes the record of a load that provably had no effect, so that a repeat may run.
 func (s *Server) finishLoad(name string, load *loadRecord, o outcome, done func(outcome)) {
 	load.finished = true
-	load.outcome = o
-	switch {
-	case o.err != nil && o.err.Code != codeMayHaveRun:
+	load.outcome = o.retained()
+	if o.loadResult() == loadHadNoEffect {
 		s.removeLoad(name)
-	case o.result != nil && o.result.rowBytes > maxRetainedResultBytes:
-		load.outcome = outcome{result: &Result{OK: okPacket(0, 0)}}
 	}
 	done(o)
 	for _, waiter := range load.waiters {
--- a/internal/mysql/pool.go
+++ b/internal/mysql/pool.go
@@ -17,6 +17,8 @@
 	Database string
 	Prepared bool
 	Params   []Param
+
+	scope writeScope
 }
 
 // statementKey returns the key of a statement in a session's handles.
--- a/internal/mysql/prepared.go
+++ b/internal/mysql/prepared.go
@@ -138,6 +138,7 @@
 		Database: statement.database,
 		Prepared: true,
 		Params:   params,
+		scope:    statement.info.scope,
 	}, statement.info)
 }
 
--- a/internal/mysql/result.go
+++ b/internal/mysql/result.go
@@ -15,11 +15,29 @@
 	Rows    [][]byte
 	Err     *Error
 
-	rowBytes int // total size of Rows
+	beganRows bool // the engine sent a number of columns, possibly followed by Err
+	noEffect  bool // Err proves that the statement changed nothing
+	rowBytes  int  // total size of Rows
 }
 
+// refused returns the result of a statement that did not begin to run.
+func refused(err *Error) *Result { return &Result{Err: err, noEffect: true} }
+
 var errLocalFile = errors.New("engine requested a local file, which is not supported")
 
+// readReply reads an engine's complete reply to a statement and determines what an error
+// in it proves.
+func (s *session) readReply(statement *Statement, maxBytes int) (*Result, error) {
+	result, err := s.readResult(maxBytes)
+	if err != nil {
+		return nil, err
+	}
+	if result.Err != nil && !result.beganRows {
+		result.noEffect = statement.scope.provesNoEffect(result.Err.Code)
+	}
+	return result, nil
+}
+
 // readResult reads an engine's complete reply to a statement.
 func (s *session) readResult(maxBytes int) (*Result, error) {
 	payload, err := s.stream.readPacket()
@@ -42,19 +60,28 @@
 	if r.malformed || null || columns == 0 || columns > maxColumns {
 		return nil, errProtocol
 	}
-	result := &Result{}
+	result := &Result{beganRows: true}
 	if err := s.readColumns(result, int(columns)); err != nil {
 		return nil, err
 	}
+	if result.Err != nil {
+		return result, nil
+	}
 	return s.readRows(result, maxBytes)
 }
 
+// readColumns reads the column definitions and the EOF packet after them. An error packet
+// in their place ends the reply.
 func (s *session) readColumns(result *Result, count int) error {
 	for range count {
 		payload, err := s.stream.readPacket()
 		if err != nil {
 			return err
 		}
+		if isError(payload) {
+			result.Err = parseError(payload)
+			return nil
+		}
 		result.Columns = append(result.Columns, slices.Clone(payload))
 	}
 	payload, err := s.stream.readPacket()
@@ -64,10 +91,15 @@
 	if err != nil {
 		return err
 	}
-	if !isEOF(payload) {
+	switch {
+	case isEOF(payload):
+		return nil
+	case isError(payload):
+		result.Err = parseError(payload)
+		return nil
+	default:
 		return errProtocol
 	}
-	return nil
 }
 
 func (s *session) readRows(result *Result, maxBytes int) (*Result, error) {
@@ -80,7 +112,7 @@
 			return result, nil
 		}
 		if isError(payload) {
-			return &Result{Err: parseError(payload)}, nil
+			return &Result{Err: parseError(payload), beganRows: true}, nil
 		}
 		result.rowBytes += len(payload)
 		if result.rowBytes > maxBytes {
--- a/internal/mysql/session.go
+++ b/internal/mysql/session.go
@@ -134,7 +134,7 @@
 		return nil, notWrittenError{err}
 	}
 	if engineErr != nil {
-		return &Result{Err: engineErr}, nil
+		return refused(engineErr), nil
 	}
 	if statement.Prepared {
 		return s.runPrepared(a, maxResultBytes, now)
@@ -146,7 +146,7 @@
 	if err := s.stream.sendCommand(comQuery, []byte(statement.SQL)); err != nil {
 		return nil, err
 	}
-	return s.readResult(maxResultBytes)
+	return s.readReply(statement, maxResultBytes)
 }
 
 // selectDatabase changes the session's database if necessary. It returns the
--- a/internal/mysql/statement.go
+++ b/internal/mysql/statement.go
@@ -20,6 +20,8 @@
 	tableGroup      int
 	withoutComments string
 	hints           map[string]string
+	hasEngineText   bool // has an executable comment, which is text for the engine only
+	scope           writeScope
 	err             *Error // response if the statement can't be served
 	isNoOp          bool   // requests a setting that always holds; answered with OK and not sent to an engine
 }
@@ -72,6 +74,9 @@
 	s.verb = strings.ToUpper(tokens[0].Text)
 	s.writes = s.writes || !slices.Contains(readVerbs, s.verb)
 	s.scanTokens(tokens)
+	if !s.hasEngineText {
+		s.scope = writeScopeOf(s.verb, tokens)
+	}
 	s.checkSession()
 	return s
 }
@@ -104,6 +109,7 @@
 func (s *statementInfo) readHints(comment string) {
 	if strings.HasPrefix(comment, "!") || strings.HasPrefix(comment, "M!") {
 		s.writes = true
+		s.hasEngineText = true
 		return
 	}
 	fields := strings.Fields(comment)
--- a/internal/mysql/submit.go
+++ b/internal/mysql/submit.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 
 	"dewhill/internal/dispatch"
 )
@@ -78,7 +79,7 @@
 	case dispatch.Served:
 		s.Counters.Served++
 		r, _ := result.(*Result)
-		return outcome{result: r}
+		return servedOutcome(r, isIdempotent)
 	case dispatch.Rejected:
 		s.Counters.Rejected++
 		return outcome{err: rejectionAfter(response.RetryAfterMS)}
@@ -88,6 +89,20 @@
 	}
 }
 
+// servedOutcome returns the outcome for an engine's reply. An engine's error must not tell
+// the client of a load that nothing ran if the error does not prove it.
+func servedOutcome(result *Result, isIdempotent bool) outcome {
+	if isIdempotent || result == nil || result.Err == nil || result.noEffect {
+		return outcome{result: result}
+	}
+	if !slices.Contains(ownCodesOfNoRun, result.Err.Code) {
+		return outcome{result: result}
+	}
+	failure := mayHaveRun()
+	failure.Message += fmt.Sprintf(" (the engine answered with %v)", result.Err)
+	return outcome{err: failure}
+}
+
 func failure(response dispatch.Response, isIdempotent bool) *Error {
 	switch {
 	case response.MayHaveRun && !isIdempotent:
