mysql: a repeat of a load that answered with rows gets no other result

A repeat as a prepared statement of a load sent as text got text rows, which its driver reads as a malformed packet.

Cause: what is not kept was replaced by okPacket(0, 0), which is a result of its own; rows were kept without their protocol.

Fix: a lease keeps an OK packet with a message that stands for rows that are not kept, and a repeat gets error 1329 for it; rows are kept with their protocol. Of a long OK packet the end of its message is cut off, the numbers stay.

--- a/internal/mysql/leases.go
+++ b/internal/mysql/leases.go
@@ -1,6 +1,10 @@
 package mysql
 
-import "dewhill/internal/lease"
+import (
+	"bytes"
+
+	"dewhill/internal/lease"
+)
 
 // Leases grants leases across all front ends: only the front end with the lease of a
 // load runs it. Its methods are called on the event loop.
@@ -75,13 +79,17 @@
 	}
 }
 
-// packetToKeep returns the OK packet that is kept of a load that succeeded. Rows are not
-// kept.
+// rowsNotKeptPacket stands for a load that succeeded with rows, which are not kept with
+// its lease. Front ends of earlier versions give it on as an OK packet.
+var rowsNotKeptPacket = append(okPacket(0, 0), "rows of the first run are not kept"...)
+
+// packetToKeep returns the OK packet that is kept of a load that succeeded. Only the
+// message at the end of an OK packet can be so long that it is cut off.
 func (r *Result) packetToKeep() []byte {
-	if r.OK == nil || len(r.OK) > lease.MaxOutcomeBytes {
-		return okPacket(0, 0)
+	if r.OK == nil {
+		return rowsNotKeptPacket
 	}
-	return r.OK
+	return r.OK[:min(len(r.OK), lease.MaxOutcomeBytes)]
 }
 
 // decisionOutcome converts a decision other than a usable grant to the client's
@@ -89,6 +97,9 @@
 func (s *Server) decisionOutcome(decision lease.Decision) outcome {
 	switch decision.Kind {
 	case lease.AlreadyCompleted:
+		if bytes.Equal(decision.Outcome, rowsNotKeptPacket) {
+			return outcome{err: rowsNotKept()}
+		}
 		return outcome{result: &Result{OK: decision.Outcome}}
 	case lease.PossiblyRan, lease.RunningElsewhere:
 		return outcome{err: mayHaveRun()}
--- a/internal/mysql/loads.go
+++ b/internal/mysql/loads.go
@@ -7,7 +7,7 @@
 )
 
 // maxRetainedResultBytes limits the rows that are kept of a load with an id. If the
-// rows were larger, a repeat of the load gets an OK packet without rows.
+// rows were larger, a repeat of the load gets the error rowsNotKept.
 const maxRetainedResultBytes = 4 << 10
 
 // maxLoadIDBytes limits the length of a load's id.
@@ -54,22 +54,33 @@
 	}
 }
 
-// forRepeat returns the outcome that a repeat of a load gets.
-func (o outcome) forRepeat() outcome {
-	if o.loadResult() == loadMayHaveRun {
+// forRepeat returns the outcome that a repeat of a load gets, which may be a prepared
+// statement or text. The rows of the other protocol can't be given to it.
+func (o outcome) forRepeat(prepared bool) outcome {
+	switch {
+	case o.loadResult() == loadMayHaveRun:
 		return outcome{err: mayHaveRun()}
+	case o.err == nil && o.result.hasRows() && o.result.binary != prepared:
+		return outcome{err: rowsNotKept()}
+	default:
+		return o
 	}
-	return o
 }
 
 // retained returns the outcome to keep for later repeats.
 func (o outcome) retained() outcome {
 	if o.err == nil && o.result != nil && o.result.rowBytes > maxRetainedResultBytes {
-		return outcome{result: &Result{OK: okPacket(0, 0)}}
+		return outcome{err: rowsNotKept()}
 	}
 	return o
 }
 
+// rowsNotKept answers a repeat of a load that succeeded with rows that the repeat can't
+// get.
+func rowsNotKept() *Error {
+	return &Error{codeRowsNotKept, "02000", "this load has run and succeeded, but its rows are not kept"}
+}
+
 func (s *Server) class(t requestOptions) *simproto.Class { return &s.config.Settings.Classes[t.class] }
 
 // submitLoad accepts a load with an id. A repeat gets the outcome of the first run.
@@ -78,7 +89,7 @@
 func (s *Server) submitLoad(c *client, statement *Statement, info *statementInfo, t requestOptions, done func(outcome)) {
 	name := c.user + "\x00" + t.loadID
 	fingerprint := fingerprintOf(statement)
-	if s.joinLoad(c, name, fingerprint, done) {
+	if s.joinLoad(c, name, statement, fingerprint, done) {
 		return
 	}
 	load := s.addLoad(c, name, fingerprint)
@@ -105,7 +116,7 @@
 // joinLoad reports whether the server has a record of the load. If it has, the load
 // must not run again, and joinLoad calls done with the recorded outcome, now or when
 // the run ends.
-func (s *Server) joinLoad(c *client, name, fingerprint string, done func(outcome)) bool {
+func (s *Server) joinLoad(c *client, name string, statement *Statement, fingerprint string, done func(outcome)) bool {
 	load := s.loads[name]
 	if load == nil {
 		return false
@@ -115,9 +126,9 @@
 	case load.fingerprint != fingerprint:
 		done(outcome{err: errIDConflict})
 	case load.finished:
-		done(load.outcome.forRepeat())
+		done(load.outcome.forRepeat(statement.Prepared))
 	default:
-		load.waiters = append(load.waiters, func(o outcome) { done(o.forRepeat()) })
+		load.waiters = append(load.waiters, func(o outcome) { done(o.forRepeat(statement.Prepared)) })
 		load.waitingClients++
 		c.load = load
 	}
--- a/internal/mysql/repeat_test.go
+++ b/internal/mysql/repeat_test.go
@@ -27,6 +27,7 @@
 	engineTimeLimit    = 3024
 	engineCommitFailed = 1180
 	engineUnknownCode  = 4711
+	codeRowsNotKept    = 1329
 )
 
 // failedRun is a load's first run, which its engine answers with an error.
@@ -256,3 +257,58 @@
 		t.Errorf("%v: the repeat is answered with %v and ran %d times", run, err, ran)
 	}
 }
+
+// TestRepeatOfLoadWithRows checks that a repeat of a load that succeeded with rows gets the
+// same rows or the error that they are not kept, but no other result.
+func TestRepeatOfLoadWithRows(t *testing.T) {
+	f := startLoadFleet(t, loadFleetOptions{size: 2, maxRunMS: 1})
+	for _, e := range f.engines {
+		e.SetBehavior(func(step, _ string) string {
+			if step == "prepare" {
+				return ""
+			}
+			return "rows"
+		})
+	}
+	const statement = "INSERT INTO trips_1.t VALUES /* dewhill: id=rows */ (1) RETURNING a"
+	if n, err := queryRows(f.databases[0], statement, false); n != 2 || err != nil {
+		t.Fatalf("%d rows, %v, want 2 rows", n, err)
+	}
+	if n, err := queryRows(f.databases[0], statement, false); n != 2 || err != nil {
+		t.Errorf("repeat through the same front end: %d rows, %v, want 2 rows", n, err)
+	}
+	for name, repeat := range map[string]func() (int, error){
+		"prepared, the same front end": func() (int, error) { return queryRows(f.databases[0], statement, true) },
+		"text, another front end":      func() (int, error) { return queryRows(f.databases[1], statement, false) },
+		"prepared, another front end":  func() (int, error) { return queryRows(f.databases[1], statement, true) },
+	} {
+		n, err := repeat()
+		if number, state := mysqlError(err); number != codeRowsNotKept || state != "02000" {
+			t.Errorf("%s: %d rows, %v, want error %d", name, n, err, codeRowsNotKept)
+		}
+	}
+	if ran := f.engines[0].Ran("INSERT") + f.engines[1].Ran("INSERT") + f.engines[2].Ran("INSERT"); ran != 1 {
+		t.Errorf("ran %d times, want 1", ran)
+	}
+}
+
+// queryRows returns the number of rows of a statement's result.
+func queryRows(db *sql.DB, statement string, prepared bool) (n int, err error) {
+	query := func() (*sql.Rows, error) { return db.Query(statement) }
+	if prepared {
+		s, err := db.Prepare(statement)
+		if err != nil {
+			return 0, err
+		}
+		defer func() { _ = s.Close() }()
+		query = func() (*sql.Rows, error) { return s.Query() }
+	}
+	rows, err := query()
+	if err != nil {
+		return 0, err
+	}
+	for rows.Next() {
+		n++
+	}
+	return n, errors.Join(rows.Err(), rows.Close())
+}
--- a/internal/mysql/result.go
+++ b/internal/mysql/result.go
@@ -15,11 +15,15 @@
 	Rows    [][]byte
 	Err     *Error
 
+	binary    bool // Rows are in the binary protocol, as for prepared statements
 	beganRows bool // the engine sent a number of columns, possibly followed by Err
 	noEffect  bool // Err proves that the statement changed nothing
 	rowBytes  int  // total size of Rows
 }
 
+// hasRows reports whether the statement succeeded with rows.
+func (r *Result) hasRows() bool { return r.OK == nil && r.Err == nil }
+
 // refused returns the result of a statement that did not begin to run.
 func refused(err *Error) *Result { return &Result{Err: err, noEffect: true} }
 
@@ -32,6 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
+	result.binary = statement.Prepared
 	if result.Err != nil && !result.beganRows {
 		result.noEffect = statement.scope.provesNoEffect(result.Err.Code)
 	}
