mysql: a CALL whose engine answers 1243 or 1615 is not sent again

Seen by callers: a prepared CALL ran twice, on two engines, and was told that it succeeded.

Cause: the session took each 1243 (unknown handle) and 1615 (needs re-prepare) for proof that the statement did not run. A procedure can fail with either after some of its statements ran.

Evidence: TestCallIsNotSentAgain on: "ran 2 times, want 1" for both codes.

Fix: the session asks the table of engineerrors.go, which proves nothing for a CALL; other statements are prepared again as before (TestUnknownHandleIsPreparedAgain).

--- a/internal/mysql/handles.go
+++ b/internal/mysql/handles.go
@@ -29,7 +29,7 @@
 		return nil, err
 	}
 	result, err := s.readReply(a.statement, maxResultBytes)
-	if err == nil && result.Err != nil && result.Err.meansUnknownHandle() {
+	if err == nil && result.noEffect && result.Err.meansUnknownHandle() {
 		delete(s.handles, statementKey(a.statement))
 		return nil, notWrittenError{result.Err} // it did not run
 	}
--- a/internal/mysql/repeat_test.go
+++ b/internal/mysql/repeat_test.go
@@ -312,3 +312,17 @@
 	}
 	return n, errors.Join(rows.Err(), rows.Close())
 }
+
+// TestCallIsNotSentAgain guards against a second run of a prepared CALL that its engine
+// answers with 1243 or 1615: a statement of the procedure may have failed so after others
+// have run.
+func TestCallIsNotSentAgain(t *testing.T) {
+	d := deploy(t, 2, nil)
+	for _, code := range []int{1243, 1615} {
+		statement := fmt.Sprintf("CALL trips_1.fill_%d(?)", code)
+		d.setBehavior(failOnce("execute", statement, fmt.Sprintf("run-error %d", code)))
+		_, err := d.db.Exec(statement, 1)
+		d.wantCode(err, uint16(code), "HY000")
+		d.wantRan(statement, 1)
+	}
+}
