mysql: a retry marked with retry=yes is known as the load that it repeats

Seen by callers: a load repeated with the documented hint retry=yes was answered with 1231, "this id was given to another statement", with leases and without; only a repeat without the hint got the outcome of its first run.

Cause: the fingerprint of a load is a hash of its text, and the hint is part of the text.

No test sent the hint.

Fix: the fingerprint leaves out the hint, and a comment that has nothing else.

--- a/internal/mysql/classify.go
+++ b/internal/mysql/classify.go
@@ -96,7 +96,7 @@
 	case "id":
 		options.loadID = value
 		return value != "" && len(value) <= maxLoadIDBytes
-	case "retry":
+	case retryHint:
 		options.isRetry = value == "yes"
 		return options.isRetry || value == "no"
 	case "deadline":
--- a/internal/mysql/loads.go
+++ b/internal/mysql/loads.go
@@ -88,7 +88,7 @@
 // lease.
 func (s *Server) submitLoad(c *client, statement *Statement, info *statementInfo, t requestOptions, done func(outcome)) {
 	name := c.user + "\x00" + t.loadID
-	fingerprint := fingerprintOf(statement)
+	fingerprint := fingerprintOf(statement, info)
 	if s.joinLoad(c, name, statement, fingerprint, done) {
 		return
 	}
@@ -108,8 +108,11 @@
 	})
 }
 
-func fingerprintOf(statement *Statement) string {
-	text := []byte(statementKey(statement) + "\x00")
+// fingerprintOf returns a hash of a statement's content. A retry that is marked as such has
+// the fingerprint of the first try.
+func fingerprintOf(statement *Statement, info *statementInfo) string {
+	unmarked := Statement{SQL: info.withoutRetry, Database: statement.Database}
+	text := []byte(statementKey(&unmarked) + "\x00")
 	return hashOf(append(text, encodeExecute(0, statement.Params)...))
 }
 
--- a/internal/mysql/statement.go
+++ b/internal/mysql/statement.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"regexp"
 	"slices"
 	"strings"
 
@@ -19,6 +20,7 @@
 	table           string // first table named in the statement
 	tableGroup      int
 	withoutComments string
+	withoutRetry    string // the text without the hint that marks a retry
 	hints           map[string]string
 	hasEngineText   bool // has an executable comment, which is text for the engine only
 	scope           writeScope
@@ -81,10 +83,10 @@
 	return s
 }
 
-// stripComments reads the hints in comments, sets withoutComments and returns the tokens
-// that are not comments.
+// stripComments reads the hints in comments, sets withoutComments and withoutRetry, and
+// returns the tokens that are not comments.
 func (s *statementInfo) stripComments(sql string) []sqlscan.Token {
-	var text strings.Builder
+	var text, withoutRetry strings.Builder
 	var rest []sqlscan.Token
 	tokens := sqlscan.Scan(sql)
 	for i, token := range tokens {
@@ -95,15 +97,40 @@
 		if token.Kind == sqlscan.Comment {
 			s.readHints(token.Text)
 			text.WriteByte(' ')
+			withoutRetry.WriteString(removeRetryHint(token, sql[token.Offset:end]))
 			continue
 		}
 		text.WriteString(sql[token.Offset:end])
+		withoutRetry.WriteString(sql[token.Offset:end])
 		rest = append(rest, token)
 	}
 	s.withoutComments = strings.TrimSpace(text.String())
+	s.withoutRetry = sql
+	if _, marked := s.hints[retryHint]; marked {
+		s.withoutRetry = strings.TrimSpace(withoutRetry.String())
+	}
 	return rest
 }
 
+// retryHint is the hint by which a client states that it has sent a load before.
+const retryHint = "retry"
+
+var retryHintPattern = regexp.MustCompile(`\s+` + retryHint + `=(?:yes|no)`)
+
+// removeRetryHint removes the hint that marks a retry from a comment and the space after
+// it. If the comment has no other hint, it is removed as a whole.
+func removeRetryHint(comment sqlscan.Token, text string) string {
+	fields := strings.Fields(comment.Text)
+	if len(fields) == 0 || fields[0] != hintPrefix {
+		return text
+	}
+	without := retryHintPattern.ReplaceAllString(text, "")
+	if len(fields) == 2 && without != text {
+		return ""
+	}
+	return without
+}
+
 // readHints reads the hints in a comment. An executable comment (/*! or /*M!) is part of
 // the statement for the engine and may write.
 func (s *statementInfo) readHints(comment string) {
--- /dev/null
+++ b/internal/mysql/statement_test.go
@@ -0,0 +1,33 @@
+package mysql
+
+import "testing"
+
+// TestMarkedRetryHasTheFingerprintOfItsLoad guards against a retry that is answered with
+// 1231, that its id was given to another statement, because the hint retry=yes changed its
+// text.
+func TestMarkedRetryHasTheFingerprintOfItsLoad(t *testing.T) {
+	fingerprint := func(sql string) string {
+		return fingerprintOf(&Statement{SQL: sql, Database: "trips"}, inspect(sql))
+	}
+	const load = "INSERT INTO t VALUES /* dewhill: id=L7 key=a */ (1, ' retry=yes')"
+	for _, retry := range []string{
+		"INSERT INTO t VALUES /* dewhill: id=L7 key=a retry=yes */ (1, ' retry=yes')",
+		"INSERT INTO t VALUES /* dewhill: retry=no id=L7 key=a */ (1, ' retry=yes')",
+		"INSERT INTO t VALUES /* dewhill: id=L7\tretry=yes key=a */ (1, ' retry=yes')",
+		"/* dewhill: retry=yes */ " + load,
+		load + " /* dewhill: retry=yes */",
+	} {
+		if fingerprint(retry) != fingerprint(load) {
+			t.Errorf("%s: not the fingerprint of the load without the hint", retry)
+		}
+	}
+	for _, other := range []string{
+		"INSERT INTO t VALUES /* dewhill: id=L7 key=a retry=yes */ (2, ' retry=yes')",
+		"INSERT INTO t VALUES /* dewhill: id=L7 key=a retry=yes */ (1, '')",
+		"INSERT INTO t VALUES /* dewhill: id=L7 key=b retry=yes */ (1, ' retry=yes')",
+	} {
+		if fingerprint(other) == fingerprint(load) {
+			t.Errorf("%s: the fingerprint of another load", other)
+		}
+	}
+}
