mysql: without leases a marked retry of an unknown load is refused, not run

Seen by callers: a load sent again with retry=yes to a front end without replicated state ran a second time if its id had been forgotten, by a restart or by known_ids others.

Cause: the hint was read and passed to leases only.

Evidence: TestRetryOfUnknownLoad on: "error <nil>, want 1233", "load known ran 2 times, want once".

Fix: an unknown id that its client marks as a retry gets 1233, as with leases. A load whose run provably had no effect, or that was rejected, is remembered apart from the records of loads, so that its retry runs and a flood of rejections displaces no record.

--- a/internal/mysql/leases.go
+++ b/internal/mysql/leases.go
@@ -106,7 +106,7 @@
 	case lease.Conflict:
 		return outcome{err: errIDConflict}
 	case lease.Forgotten:
-		return outcome{err: &Error{codeUnknownLoadID, "08007", "this id is not remembered: it may have run"}}
+		return outcome{err: unknownLoad()}
 	default:
 		s.Counters.Rejected++
 		return outcome{err: s.rejection()}
--- a/internal/mysql/loads.go
+++ b/internal/mysql/loads.go
@@ -87,11 +87,15 @@
 // If the fleet uses leases, the load runs only if this front end is granted its
 // lease.
 func (s *Server) submitLoad(c *client, statement *Statement, info *statementInfo, t requestOptions, done func(outcome)) {
-	name := c.user + "\x00" + t.loadID
+	name := loadName(c, t)
 	fingerprint := fingerprintOf(statement, info)
 	if s.joinLoad(c, name, statement, fingerprint, done) {
 		return
 	}
+	if s.Leases == nil && t.isRetry && !s.released[name] {
+		done(outcome{err: unknownLoad()})
+		return
+	}
 	load := s.addLoad(c, name, fingerprint)
 	finish := func(o outcome) { s.finishLoad(name, load, o, done) }
 	if s.Leases == nil {
@@ -108,6 +112,14 @@
 	})
 }
 
+// loadName returns the name of a load with an id: ids of different accounts differ.
+func loadName(c *client, t requestOptions) string { return c.user + "\x00" + t.loadID }
+
+// unknownLoad answers a load that its client marked as a retry, and whose id is not known.
+func unknownLoad() *Error {
+	return &Error{codeUnknownLoadID, "08007", "this id is not remembered: it may have run"}
+}
+
 // fingerprintOf returns a hash of a statement's content. A retry that is marked as such has
 // the fingerprint of the first try.
 func fingerprintOf(statement *Statement, info *statementInfo) string {
@@ -139,6 +151,7 @@
 }
 
 func (s *Server) addLoad(c *client, name, fingerprint string) *loadRecord {
+	s.forgetReleased(name)
 	load := &loadRecord{fingerprint: fingerprint, waitingClients: 1}
 	c.load = load
 	s.loads[name] = load
@@ -154,6 +167,7 @@
 	load.outcome = o.retained()
 	if o.loadResult() == loadHadNoEffect {
 		s.removeLoad(name)
+		s.rememberReleased(name)
 	}
 	done(o)
 	for _, waiter := range load.waiters {
@@ -178,3 +192,25 @@
 	delete(s.loads, name)
 	s.loadOrder = slices.DeleteFunc(s.loadOrder, func(n string) bool { return n == name })
 }
+
+// rememberReleased remembers a load whose run provably had no effect: a retry of it may run,
+// although there is no record of the load. The number of such loads is limited apart from
+// that of records, so that rejections displace no record of a load that has run.
+func (s *Server) rememberReleased(name string) {
+	if s.released[name] {
+		return
+	}
+	s.released[name] = true
+	s.releasedOrder = append(s.releasedOrder, name)
+	if len(s.releasedOrder) > s.config.Limits.KnownIDs {
+		s.forgetReleased(s.releasedOrder[0])
+	}
+}
+
+func (s *Server) forgetReleased(name string) {
+	if !s.released[name] {
+		return
+	}
+	delete(s.released, name)
+	s.releasedOrder = slices.DeleteFunc(s.releasedOrder, func(n string) bool { return n == name })
+}
--- a/internal/mysql/repeat_test.go
+++ b/internal/mysql/repeat_test.go
@@ -28,6 +28,7 @@
 	engineCommitFailed = 1180
 	engineUnknownCode  = 4711
 	codeRowsNotKept    = 1329
+	codeUnknownLoad    = 1233
 )
 
 // failedRun is a load's first run, which its engine answers with an error.
@@ -326,3 +327,38 @@
 		d.wantRan(statement, 1)
 	}
 }
+
+// TestRetryOfUnknownLoad guards against a second run of a load that its client marks as a
+// retry, through a front end without leases that does not know its id.
+func TestRetryOfUnknownLoad(t *testing.T) {
+	const knownIDs = 3
+	d := deploy(t, 1, func(c *mysql.Config) { c.Limits.KnownIDs = knownIDs })
+	send := func(id, hints string) error {
+		_, err := d.db.Exec(fmt.Sprintf("INSERT INTO trips_1.t VALUES /* dewhill: id=%s%s */ (1)", id, hints))
+		return err
+	}
+	ran := func(id string) int { return runsOf(d.engines, id) }
+	d.wantCode(send("unknown", " retry=yes"), codeUnknownLoad, "08007")
+	if ran("unknown") != 0 {
+		t.Error("a retry of an unknown load ran")
+	}
+	if err := errors.Join(send("known", ""), send("known", " retry=yes")); err != nil || ran("known") != 1 {
+		t.Errorf("a load and its retry ran %d times, %v, want once", ran("known"), err)
+	}
+	d.setBehavior(failOnce("query", "INSERT", fmt.Sprintf("error %d", engineNoSuchTable)))
+	d.wantCode(send("refused", ""), engineNoSuchTable, "HY000")
+	if err := send("refused", " retry=yes"); err != nil || ran("refused") != 1 {
+		t.Errorf("a load that was refused and its retry ran %d times, %v, want once", ran("refused"), err)
+	}
+	for i := range knownIDs {
+		if err := send(fmt.Sprint("later-", i), ""); err != nil {
+			t.Error(err)
+		}
+	}
+	for _, id := range []string{"known", "refused"} {
+		d.wantCode(send(id, " retry=yes"), codeUnknownLoad, "08007")
+		if ran(id) != 1 {
+			t.Errorf("load %s ran %d times, want once", id, ran(id))
+		}
+	}
+}
--- a/internal/mysql/server.go
+++ b/internal/mysql/server.go
@@ -59,6 +59,8 @@
 	clients          map[*client]bool
 	loads            map[string]*loadRecord // key: account and load id
 	loadOrder        []string               // keys of loads, oldest first
+	released         map[string]bool        // keys of loads whose last run had no effect
+	releasedOrder    []string               // keys of released, oldest first
 	lastConnectionID uint32
 	lastRequestID    uint64
 	shuttingDown     atomic.Bool
@@ -72,6 +74,7 @@
 		accounts: config.Accounts,
 		clients:  map[*client]bool{},
 		loads:    map[string]*loadRecord{},
+		released: map[string]bool{},
 	}
 }
 
--- a/internal/mysql/submit.go
+++ b/internal/mysql/submit.go
@@ -33,6 +33,9 @@
 	}
 	if s.loop.OpenRequests() >= s.config.Limits.MaxOpenRequests {
 		s.Counters.Rejected++
+		if options.loadID != "" && s.loads[loadName(c, options)] == nil {
+			s.rememberReleased(loadName(c, options))
+		}
 		done(outcome{err: s.rejection()})
 		return
 	}
