mysql: a row of 16 MB or more stays one row

Seen by callers: with result_mb above 16, a row of 16,777,215 bytes or more arrived as two rows or three; a rest of up to 8 bytes that begins with 0xfe would have ended the result early.

Cause: the protocol splits payloads of that size into packets, and readRows took each packet for a row.

Fix: readPayload joins the packets of a payload, up to the limit of a result; towards clients queuePacket splits them already. A larger result fails before it is read whole.

--- a/internal/mysql/result.go
+++ b/internal/mysql/result.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"slices"
 )
@@ -27,6 +26,8 @@
 // refused returns the result of a statement that did not begin to run.
 func refused(err *Error) *Result { return &Result{Err: err, noEffect: true} }
 
+var errResultTooLarge = errors.New("result is larger than the limit (result_mb)")
+
 var errLocalFile = errors.New("engine requested a local file, which is not supported")
 
 // readReply reads an engine's complete reply to a statement and determines what an error
@@ -109,7 +110,7 @@
 
 func (s *session) readRows(result *Result, maxBytes int) (*Result, error) {
 	for {
-		payload, err := s.stream.readPacket()
+		payload, err := s.stream.readPayload(maxBytes - result.rowBytes)
 		if err != nil {
 			return nil, err
 		}
@@ -121,7 +122,7 @@
 		}
 		result.rowBytes += len(payload)
 		if result.rowBytes > maxBytes {
-			return nil, fmt.Errorf("result is larger than the limit of %d bytes", maxBytes)
+			return nil, errResultTooLarge
 		}
 		result.Rows = append(result.Rows, slices.Clone(payload))
 	}
--- a/internal/mysql/stream.go
+++ b/internal/mysql/stream.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"time"
 
 	"dewhill/internal/lingeringclose"
@@ -68,6 +69,27 @@
 	return packet[headerBytes:], nil
 }
 
+// readPayload returns the next payload, which may be split into several packets. The
+// payload is valid until the next call. A payload that is split and longer than the limit
+// gives errResultTooLarge.
+func (s *stream) readPayload(maxBytes int) ([]byte, error) {
+	packet, err := s.readPacket()
+	if err != nil || len(packet) < maxPayloadBytes {
+		return packet, err
+	}
+	payload := slices.Clone(packet)
+	for len(packet) == maxPayloadBytes {
+		if len(payload) > maxBytes {
+			return nil, errResultTooLarge
+		}
+		if packet, err = s.readPacket(); err != nil {
+			return nil, err
+		}
+		payload = append(payload, packet...)
+	}
+	return payload, nil
+}
+
 // queuePacket queues a payload to be sent, split into several packets if it is too
 // long for one.
 func (s *stream) queuePacket(payload []byte) {
