mysql: a lost handle closes no session and counts against no engine

Seen by callers: after error 1243 or 1615 the statement went to another engine over a new connection, and the engine, which was well, was taken for one that fails to connect; with several such answers it was ejected.

Cause: the session returned notWrittenError for both, which stands for a connection that broke before the statement was written.

Evidence: TestLostHandleIsNoFailure on, one engine: "2 connections and 1 failed attempts, want 1 and 0" for both codes.

Fix: as nothing ran, the session closes the handle, prepares the statement again and executes it once more. If the engine forgets that handle as well, it counts as before.

--- a/internal/mysql/attempt.go
+++ b/internal/mysql/attempt.go
@@ -54,6 +54,13 @@
 	return nil
 }
 
+// markUnwritten records that the engine refused the statement: nothing of it runs.
+func (a *attempt) markUnwritten() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.written = false
+}
+
 // markCancelled cancels the attempt and reports whether its statement was
 // written.
 func (a *attempt) markCancelled() (written bool) {
--- a/internal/mysql/handles.go
+++ b/internal/mysql/handles.go
@@ -3,14 +3,33 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"slices"
 )
 
 const maxHandles = 64 // of prepared statements on one session
 
-// runPrepared runs a prepared statement. It prepares the statement on the session
-// first if necessary. If the connection breaks before the execute command is written,
-// the statement did not run, so even a load can be retried on another engine.
+// runPrepared runs a prepared statement. If the engine has lost the statement's handle, or
+// asks for the statement to be prepared again, nothing ran, and the session does so once.
 func (s *session) runPrepared(a *attempt, maxResultBytes int, now func() float64) (*Result, error) {
+	result, err := s.executePrepared(a, maxResultBytes, now)
+	if err != nil || !result.lostHandle() {
+		return result, err
+	}
+	if err := s.closeHandle(statementKey(a.statement)); err != nil {
+		return nil, notWrittenError{err}
+	}
+	a.markUnwritten()
+	result, err = s.executePrepared(a, maxResultBytes, now)
+	if err == nil && result.lostHandle() {
+		return nil, notWrittenError{result.Err} // the engine is not well
+	}
+	return result, err
+}
+
+// executePrepared prepares a statement on the session if necessary, and executes it. If
+// the connection breaks before the execute command is written, the statement did not run,
+// so even a load can be retried on another engine.
+func (s *session) executePrepared(a *attempt, maxResultBytes int, now func() float64) (*Result, error) {
 	handle, engineErr, err := s.findHandle(a.statement)
 	if err != nil {
 		return nil, notWrittenError{err}
@@ -28,18 +47,13 @@
 	if err := s.stream.sendCommand(comStmtExecute, encodeExecute(handle, a.statement.Params)); err != nil {
 		return nil, err
 	}
-	result, err := s.readReply(a.statement, maxResultBytes)
-	if err == nil && result.noEffect && result.Err.meansUnknownHandle() {
-		delete(s.handles, statementKey(a.statement))
-		return nil, notWrittenError{result.Err} // it did not run
-	}
-	return result, err
+	return s.readReply(a.statement, maxResultBytes)
 }
 
-// meansUnknownHandle reports whether the error says that the engine no longer has a
-// handle or that the statement must be prepared again.
-func (e *Error) meansUnknownHandle() bool {
-	return e.Code == codeUnknownHandle || e.Code == codeNeedsReprepare
+// lostHandle reports whether the engine did not run a prepared statement because it no
+// longer has the handle, or because the statement must be prepared again.
+func (r *Result) lostHandle() bool {
+	return r.noEffect && (r.Err.Code == codeUnknownHandle || r.Err.Code == codeNeedsReprepare)
 }
 
 // findHandle returns the engine's handle of a statement, which it prepares if
@@ -54,7 +68,7 @@
 
 func (s *session) prepare(statement *Statement) (handle uint32, engineErr *Error, err error) {
 	if len(s.handleOrder) >= maxHandles {
-		if err := s.closeOldestHandle(); err != nil {
+		if err := s.closeHandle(s.handleOrder[0]); err != nil {
 			return 0, nil, err
 		}
 	}
@@ -108,15 +122,19 @@
 	return prepared, nil
 }
 
-func (s *session) closeOldestHandle() error {
-	oldest := s.handleOrder[0]
-	argument := binary.LittleEndian.AppendUint32(nil, s.handles[oldest])
+// closeHandle closes the handle of a statement, given by its key, if there is one.
+func (s *session) closeHandle(key string) error {
+	handle, found := s.handles[key]
+	if !found {
+		return nil
+	}
+	argument := binary.LittleEndian.AppendUint32(nil, handle)
 	if err := s.stream.sendCommand(comStmtClose, argument); err != nil {
 		return err
 	}
 	s.counters.HandlesClosed++
-	delete(s.handles, oldest)
-	s.handleOrder = s.handleOrder[1:]
+	delete(s.handles, key)
+	s.handleOrder = slices.DeleteFunc(s.handleOrder, func(k string) bool { return k == key })
 	return nil
 }
 
--- a/internal/mysql/program_test.go
+++ b/internal/mysql/program_test.go
@@ -395,3 +395,22 @@
 		t.Errorf("statement ran %d times, want 1: %v", e.Ran("INSERT"), err)
 	}
 }
+
+// TestLostHandleIsNoFailure guards against a closed connection and a failure counted
+// against an engine that is well, when it has lost a handle or wants it prepared again.
+func TestLostHandleIsNoFailure(t *testing.T) {
+	for _, code := range []string{"1243", "1615"} {
+		d := deploy(t, 1, nil)
+		d.exec("INSERT INTO trips_1.t VALUES (?)", 1)
+		d.setBehavior(failOnce("execute", "INSERT", "error "+code))
+		d.exec("INSERT INTO trips_1.t VALUES (?)", 2)
+		d.wantRan("INSERT", 2)
+		if prepares, _ := d.engines[0].Counts(); prepares != 2 {
+			t.Errorf("error %s: prepared %d times, want 2", code, prepares)
+		}
+		engines := d.prog.Stop()["engines"].(map[string]any)
+		if engines["Dials"] != 1.0 || engines["LostUnsent"] != 0.0 {
+			t.Errorf("error %s: %v connections and %v failed attempts, want 1 and 0", code, engines["Dials"], engines["LostUnsent"])
+		}
+	}
+}
