haproxy: a server of weight 0 stays drained with the flag enabled

Seen by callers: an imported server "weight 0 enabled" got requests, which HAProxy keeps off it; "weight 0 weight 5" (a default-server's 0 replaced) got none.

Cause: one field stood for the state "disabled" and for weight 0. HAProxy's flag enabled lifts disabled only, and the last weight counts.

Evidence: TestServerState before: 3 of its 7 rows fail, as "weight 0 enabled: state active".

Fix: two fields, each set by its own options.

--- a/internal/haproxy/build.go
+++ b/internal/haproxy/build.go
@@ -139,7 +139,7 @@
 	var list []mysql.Engine
 	for _, s := range backend.servers {
 		state := stateActive
-		if s.draining {
+		if s.disabled || s.hasNoWeight {
 			state = stateDraining
 		}
 		list = append(list, mysql.Engine{
--- a/internal/haproxy/import_test.go
+++ b/internal/haproxy/import_test.go
@@ -114,3 +114,27 @@
 		}
 	})
 }
+
+// TestServerState guards against a server of weight 0 that gets requests because of the flag
+// "enabled", which HAProxy has for disabled servers only, and against one that stays drained
+// although a later weight replaces the 0.
+func TestServerState(t *testing.T) {
+	const drained, active = "leaving", "active"
+	for options, want := range map[string]string{
+		"disabled":                  drained,
+		"disabled enabled":          active,
+		"weight 0":                  drained,
+		"weight 0 enabled":          drained,
+		"enabled weight 0":          drained,
+		"weight 0 weight 5":         active,
+		"disabled weight 0 enabled": drained,
+	} {
+		c, found, err := Import(strings.NewReader(strings.ReplaceAll(validFile, "10.0.0.3:3306 disabled", "10.0.0.3:3306 "+options)))
+		if err != nil || len(fatal(found)) != 0 {
+			t.Fatalf("%s: findings %v, error %v", options, found, err)
+		}
+		if got := c.Engines[2].State; got != want {
+			t.Errorf("%s: state %q, want %q", options, got, want)
+		}
+	}
+}
--- a/internal/haproxy/server.go
+++ b/internal/haproxy/server.go
@@ -16,7 +16,8 @@
 	line           int
 	weight         float64
 	maxConnections int
-	draining       bool
+	disabled       bool
+	hasNoWeight    bool // weight 0: HAProxy sends no new connections to the server
 }
 
 func (im *importer) readServer(s *section, fields []string) {
@@ -77,9 +78,9 @@
 	case "check", "no-check":
 		im.note("%s is not imported: the health of an engine follows from its replies", option)
 	case "disabled":
-		s.draining = true
+		s.disabled = true
 	case "enabled":
-		s.draining = false
+		s.disabled = false
 	case "backup":
 		im.fail("backup is not supported: every engine on the endpoint list receives requests")
 		return false
@@ -98,9 +99,7 @@
 			im.fail("weight %q is not a whole number from 0 to %d", value, maxWeight)
 		}
 		s.weight = float64(weight)
-		if weight == 0 { // HAProxy sends no new connections to a server of weight 0
-			s.draining = true
-		}
+		s.hasNoWeight = weight == 0
 	case "maxconn":
 		connections, err := strconv.ParseUint(value, 10, 31)
 		if err != nil {
