store: reading all values takes no file for corrupt

Seen by callers: All("") returned its values with the error that the file is corrupt, for any file; a caller would have had it replaced. No caller does that today.

Cause: the loop went on after the last key, as the nil key has the empty prefix, and found no checksum there.

Evidence: TestAllWithoutPrefix before: "3 values, corrupt, or not a file of this program".

Fix: the loop ends at the nil key.

--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -95,13 +95,12 @@
 	return value, err
 }
 
-// All returns the values whose keys begin with a prefix, by the rest of their keys. The
-// prefix must not be empty.
+// All returns the values whose keys begin with a prefix, by the rest of their keys.
 func (s *Store) All(prefix string) (values map[string][]byte, err error) {
 	values = map[string][]byte{}
 	err = s.view(func(tx *bbolt.Tx) error {
 		cursor := tx.Bucket(valueBucket).Cursor()
-		for key, record := cursor.Seek([]byte(prefix)); strings.HasPrefix(string(key), prefix); key, record = cursor.Next() {
+		for key, record := cursor.Seek([]byte(prefix)); key != nil && strings.HasPrefix(string(key), prefix); key, record = cursor.Next() {
 			stored, ok := stripChecksum(record)
 			if !ok {
 				return errCorrupt
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -69,6 +69,23 @@
 	}
 }
 
+// TestAllWithoutPrefix guards against a file that is taken for corrupt, and replaced, because
+// all its values are read.
+func TestAllWithoutPrefix(t *testing.T) {
+	dir := t.TempDir()
+	writeFile(t, dir, testFile(t))
+	s := openTest(t, dir)
+	for prefix, want := range map[string]int{"": len(testKeys), "in": 1, "none": 0} {
+		values, err := s.All(prefix)
+		if err != nil || len(values) != want {
+			t.Errorf("prefix %q: %d values, %v, want %d", prefix, len(values), err, want)
+		}
+	}
+	if value, err := s.Get("a"); string(value) != testValue("a") || err != nil {
+		t.Errorf("value %q, %v, want %q", value, err, testValue("a"))
+	}
+}
+
 func BenchmarkPut(b *testing.B) {
 	s := openTest(b, b.TempDir())
 	for b.Loop() {
