server: engines enabled again by operators are forgotten once they leave the list

Seen by operators: the table of engines kept the id of each engine that had ever been disabled, and the scan of overridden engines grew with them until the next start.

Cause: markOverridden was never undone, as an engine that was visible must stay visible.

Evidence: TestEndpointTableForgetsEnabledEngines; before, the table had no way to forget one.

Fix: it stays visible while it is listed or disabled, and is forgotten after.

--- a/internal/server/endpointtable.go
+++ b/internal/server/endpointtable.go
@@ -16,7 +16,7 @@
 
 	engines       []control.EngineInfo // in the order in which they were first listed
 	indexByID     map[string]int       // in engines
-	overridden    map[string]bool      // ids that operators have disabled at some time: always visible
+	overridden    map[string]bool      // ids that operators have disabled: always visible; value: disabled now
 	outsideSubset []bool               // by index in engines: usable, and not selected last
 	hasRemoved    bool                 // engines has some that are removed
 }
@@ -43,11 +43,29 @@
 // subset, and reports whether it was hidden before.
 func (t *endpointTable) markOverridden(id string) (hidden bool) {
 	i, listed := t.indexByID[id]
-	hidden = listed && i < len(t.outsideSubset) && t.outsideSubset[i] && !t.overridden[id]
+	_, known := t.overridden[id]
+	hidden = listed && i < len(t.outsideSubset) && t.outsideSubset[i] && !known
 	t.overridden[id] = true
 	return hidden
 }
 
+// markEnabled records that operators have lifted the override of an engine. The engine stays
+// visible until it leaves the list.
+func (t *endpointTable) markEnabled(id string) {
+	t.overridden[id] = false
+	t.forgetOverridden()
+}
+
+// forgetOverridden forgets the engines that operators have enabled again and that are no
+// longer listed.
+func (t *endpointTable) forgetOverridden() {
+	for id, disabled := range t.overridden {
+		if _, listed := t.indexByID[id]; !listed && !disabled {
+			delete(t.overridden, id)
+		}
+	}
+}
+
 // merge applies an update: a snapshot replaces the list, and any other update replaces or
 // adds the engines that it names.
 func (t *endpointTable) merge(snapshot bool, engines []control.EngineInfo) {
@@ -88,11 +106,13 @@
 	all := t.selectSubset()
 	visible := []control.EngineInfo{}
 	for i, e := range all {
-		if !t.outsideSubset[i] || t.overridden[e.ID] {
+		_, overridden := t.overridden[e.ID]
+		if !t.outsideSubset[i] || overridden {
 			visible = append(visible, e)
 		}
 	}
 	t.forgetRemoved()
+	t.forgetOverridden()
 	return visible
 }
 
--- a/internal/server/endpointtable_test.go
+++ b/internal/server/endpointtable_test.go
@@ -233,3 +233,32 @@
 		t.Errorf("the table holds %d engines, want the %d that are listed", len(table.engines), len(engines)-1)
 	}
 }
+
+// TestEndpointTableForgetsEnabledEngines guards against a table that grows with every engine
+// that operators have ever disabled.
+func TestEndpointTableForgetsEnabledEngines(t *testing.T) {
+	table := newLargeFleetTable()
+	engines := makeEngines(40)
+	mergeAndSelect(table, true, engines)
+	const stillDisabled = "still disabled"
+	table.markOverridden(stillDisabled)
+	table.markOverridden("never listed")
+	table.markEnabled("never listed")
+	for _, e := range engines[:10] {
+		table.markOverridden(e.ID)
+		table.markEnabled(e.ID)
+	}
+	if len(table.overridden) != 11 {
+		t.Errorf("%d engines are known as overridden, want the 10 that are listed and one that is disabled", len(table.overridden))
+	}
+	for _, e := range engines[:5] {
+		e.Removed = true
+		table.merge(false, []control.EngineInfo{e})
+	}
+	table.visible()
+	table.merge(true, engines[10:])
+	table.visible()
+	if len(table.overridden) != 1 || !table.overridden[stillDisabled] {
+		t.Errorf("known as overridden: %v, want only %q", table.overridden, stillDisabled)
+	}
+}
--- a/internal/server/overrides.go
+++ b/internal/server/overrides.go
@@ -68,6 +68,7 @@
 		f.loop.Logf("engine %s disabled by override", id)
 	} else {
 		delete(a.disabled, id)
+		f.endpoints.markEnabled(id)
 		f.loop.Logf("engine %s enabled by override", id)
 	}
 	f.loop.apply(dispatch.OverrideChanged{Engine: id, Disabled: disabled})
