--- a/internal/httpfront/accept_test.go
+++ b/internal/httpfront/accept_test.go
@@ -1,9 +1,13 @@
 package httpfront
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"testing"
+	"time"
+
+	"dewhill/internal/testprocess"
 )
 
 // failingListener fails a number of accepts with EMFILE, as in a process that is out
@@ -35,3 +39,52 @@
 			server.Counters.AcceptErrors, server.Counters.Evicted, len(server.connections))
 	}
 }
+
+// TestQueuedConnectionsAreReadSoon guards against requests that are read so late, behind
+// connections that each wait for a slot, that engines get a later deadline than the client
+// has: such connections are closed unread. Once the queue was empty, connections wait again.
+func TestQueuedConnectionsAreReadSoon(t *testing.T) {
+	const queued, slotInterval = 8, 60 * time.Millisecond
+	const maxReadDelay = 150 * time.Millisecond
+	loop := newSteppedLoop()
+	server := New(loop, Options{MaxConnections: 10})
+	go loop.runPosted()
+	for range cap(server.slots) {
+		server.slots <- struct{}{}
+	}
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() { // connections that end one by one
+		for {
+			select {
+			case <-time.After(slotInterval):
+				<-server.slots
+			case <-stop:
+				return
+			}
+		}
+	}()
+	startedAt := time.Now()
+	served := 0
+	for range queued {
+		here, _ := testprocess.ConnectedPair(t)
+		server.ServeConn(here)
+		if errors.Is(here.SetDeadline(time.Time{}), net.ErrClosed) {
+			continue
+		}
+		served++
+		if delay := time.Since(startedAt); delay > maxReadDelay {
+			t.Errorf("a connection was read %v after it was queued, want %v at most", delay, maxReadDelay)
+		}
+	}
+	if served == 0 {
+		t.Error("no connection waited for a slot")
+	}
+	server.queueEmptied()
+	for len(server.slots) < cap(server.slots) {
+		server.slots <- struct{}{}
+	}
+	if !server.acquireSlot() {
+		t.Error("no wait for a slot after the queue was empty")
+	}
+}
