membership: a front end that shuts down tells those that watch it

Seen by operators: for up to 1.3 s after a front end of 300 had left in good order, those that probe it could find it unresponsive and suspect it.

Cause: leave announced to probeCandidates, the members that this front end watches; its own watchers learned it by gossip.

Fix: the first two datagrams go to the watchers, as many as before.

--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -148,15 +148,15 @@
 	return len(v.queue.updates) > bulkUpdateCount || v.inMassFailure()
 }
 
-// leave announces to the members that this front end watches, and to random others,
-// that it is shutting down.
+// leave announces to the watchers of this front end, which would find it unresponsive
+// next, and to random others, that it is shutting down.
 func (v *View) leave() {
 	if v.leaving || !v.started {
 		return
 	}
 	v.leaving = true
 	v.setState(v.self, v.self.Incarnation, Left, 0)
-	targets := v.probeCandidates(watchersPerMember)
+	targets := v.watchers()
 	for range min(2*gossipFanout, len(v.live)) {
 		targets = append(targets, v.live[v.rng.IntN(len(v.live))])
 	}
--- a/internal/membership/ring.go
+++ b/internal/membership/ring.go
@@ -52,6 +52,18 @@
 	return candidates
 }
 
+// watchers returns the watchers of this front end.
+func (v *View) watchers() []*entry {
+	var watchers []*entry
+	for k := 1; k < len(v.ring) && len(watchers) < watchersPerMember; k++ {
+		other := v.ring[(v.self.ringIndex-k+len(v.ring))%len(v.ring)]
+		if other.State == Alive {
+			watchers = append(watchers, other)
+		}
+	}
+	return watchers
+}
+
 // isWatcherOf reports whether this front end is a watcher of a member.
 func (v *View) isWatcherOf(e *entry) bool {
 	alive := 0
