soak: clients on open connections until the kill, signals in series, crowds

Clients keep connections open, some with requests sent ahead, some at rest, some leave while a request waits for its turn, and all go on until SIGKILL follows SIGTERM at the earliest time of the protocol: the longest deadline, 3 s at most, and 0.7 s. Signals: HUP twice, TERM twice, HUP in a shutdown, TERM in the first 50 ms of a process, the whole fleet within a second, KILL.

For loads: none runs twice, none is reported that did not run.

A request that crosses the close of a resting connection within 50 ms is sent again once, as the protocol says.

TestFaultsBySeed and TestLoadsOfTheFleetRunOnce are the same, their set-ups are shared.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run faults sites regression
+.PHONY: build test lint run faults soak sites regression
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -33,6 +33,13 @@
 	go test -count=1 ./internal/mysql -run LoadsOfTheFleet -v -seed $(SEED) -loads 10000 -fronts 16 -lasts 60s -timeout $(M)m
 	go test -count=1 ./internal/membershipsim -run Measure -v -measure all -seeds $(N) -timeout $(M)m
 
+# A soak of both fronts over SEEDS seeds, the first of them SEED: clients use open connections
+# until SIGKILL follows SIGTERM, and signals come in series.
+SEEDS = 50
+soak:
+	go test -count=1 ./internal/acceptance -run 'TestSoak$$' -v -soakseeds $(SEEDS) -seed $(SEED) -timeout $(M)m
+	go test -count=1 ./internal/mysql -run SoakOfLoads -v -soakseeds $(SEEDS) -seed $(SEED) -timeout $(M)m
+
 # The bench's quick days on both deployments in turn: the simulator, then real sockets.
 # Nothing heavy may run beside. WHY is the entry's note in the journal.
 GIVEN = ../given
--- a/internal/acceptance/faults_test.go
+++ b/internal/acceptance/faults_test.go
@@ -83,11 +83,28 @@
 
 // runFaults runs engines, clients and faults that are drawn from a seed, and checks the rules.
 func runFaults(t *testing.T, seed uint64) {
+	f, relays, endpoints := startFaultyFleet(t, seed, deployment{fronts: *frontCount, cores: 8})
+	end := time.Now().Add(*runDuration)
+	var all sync.WaitGroup
+	for k := range *clientCount {
+		all.Go(func() { f.runClient(rand.New(rand.NewPCG(seed, 100+uint64(k))), k, end) })
+	}
+	all.Go(func() { f.injectFaults(rand.New(rand.NewPCG(seed, 2)), relays, endpoints, end) })
+	all.Go(func() { f.restartFronts(rand.New(rand.NewPCG(seed, 3)), end) })
+	all.Wait()
+	f.checkRules()
+	if served, _, _ := f.outcomes(); served == 0 {
+		t.Error("no request was served")
+	}
+}
+
+// startFaultyFleet starts front ends with engines whose responses are drawn from a seed. The
+// endpoints lead to the engines through relays.
+func startFaultyFleet(t *testing.T, seed uint64, d deployment) (f *fleet, relays []*fakes.Relay, endpoints []fakes.Endpoint) {
+	t.Helper()
 	var mu sync.Mutex
 	rng := rand.New(rand.NewPCG(seed, 1))
 	var engines []*fakes.Engine
-	var relays []*fakes.Relay
-	var endpoints []fakes.Endpoint
 	for i := range *engineCount {
 		e := &fakes.Engine{ID: fmt.Sprintf("s-%d", i), Handle: func(a fakes.Attempt) fakes.Behavior {
 			mu.Lock()
@@ -104,46 +121,41 @@
 		h.Address = r.Addr
 		endpoints = append(endpoints, h)
 	}
-	f := startOn(t, deployment{fronts: *frontCount, cores: 8}, engines, endpoints)
-	end := time.Now().Add(*runDuration)
-	var all sync.WaitGroup
-	for k := range *clientCount {
-		all.Go(func() { f.runClient(rand.New(rand.NewPCG(seed, 100+uint64(k))), k, end) })
-	}
-	all.Go(func() { f.injectFaults(rand.New(rand.NewPCG(seed, 2)), relays, endpoints, end) })
-	all.Go(func() { f.restartFronts(rand.New(rand.NewPCG(seed, 3)), end) })
-	all.Wait()
-	f.checkRules()
-	if served, _, _ := f.outcomes(); served == 0 {
-		t.Error("no request was served")
-	}
+	return startOn(t, d, engines, endpoints), relays, endpoints
 }
 
 // keyRequestInterval is the time between two requests of one order key. Each has a
 // connection of its own, so that without an interval they might arrive in another order.
 const keyRequestInterval = 250 * time.Millisecond
 
-// runClient sends one request after another until end. Each client has an order key of its
-// own and uses one front end, so that its entries arrive in order.
+// drawRequest draws a request of the client with a number. Each client has an order key of
+// its own.
+func drawRequest(rng *rand.Rand, k int) fakes.Request {
+	q := fakes.Request{Class: lookup, Timeout: time.Duration(300+rng.IntN(2500)) * time.Millisecond}
+	switch rng.IntN(7) {
+	case 0:
+		q.Class = report
+	case 2:
+		q.Class = load
+	case 1:
+		q.Class, q.Key = entry, fmt.Sprint("key-", k)
+	}
+	if rng.IntN(12) == 0 {
+		q.DisconnectAfter = time.Duration(1+rng.IntN(60)) * time.Millisecond
+	}
+	if rng.IntN(40) == 0 {
+		q.Timeout = time.Duration(1+rng.IntN(40)) * time.Millisecond
+	}
+	return q
+}
+
+// runClient sends one request after another until end. Each client uses one front end, so
+// that its entries arrive in order.
 func (f *fleet) runClient(rng *rand.Rand, k int, end time.Time) {
 	var entries sync.WaitGroup
 	defer entries.Wait()
 	for time.Now().Before(end) {
-		q := fakes.Request{Class: lookup, Timeout: time.Duration(300+rng.IntN(2500)) * time.Millisecond}
-		switch rng.IntN(7) {
-		case 0:
-			q.Class = report
-		case 2:
-			q.Class = load
-		case 1:
-			q.Class, q.Key = entry, fmt.Sprint("key-", k)
-		}
-		if rng.IntN(12) == 0 {
-			q.DisconnectAfter = time.Duration(1+rng.IntN(60)) * time.Millisecond
-		}
-		if rng.IntN(40) == 0 {
-			q.Timeout = time.Duration(1+rng.IntN(40)) * time.Millisecond
-		}
+		q := drawRequest(rng, k)
 		fr := f.fronts[k%len(f.fronts)]
 		if q.Class == entry { // not waited for, so that entries queue by their order key
 			entries.Go(func() { f.call(fr, q) })
--- a/internal/acceptance/fleet_test.go
+++ b/internal/acceptance/fleet_test.go
@@ -9,15 +9,17 @@
 	"time"
 
 	"dewhill/internal/fakes"
+	"dewhill/internal/mutanttest"
 	"dewhill/internal/testprocess"
 )
 
 // deployment describes a fleet under test.
 type deployment struct {
-	fronts           int // number of front ends that are started
-	configuredFronts int // number of front ends in the settings; 0: the same as fronts
-	cores            int // of an engine
-	sockets          int // limit of a front end; 0: 1024
+	fronts           int                // number of front ends that are started
+	configuredFronts int                // number of front ends in the settings; 0: the same as fronts
+	cores            int                // of an engine
+	sockets          int                // limit of a front end; 0: 1024
+	mutant           *mutanttest.Mutant // a program with a guard removed; nil: the unmodified program
 	// configure changes the configuration of each front end before it is written; nil: no
 	// change.
 	configure func(config *fakes.ProgramConfig, settings map[string]any)
@@ -98,7 +100,22 @@
 type frontEnd struct {
 	addr, path string
 	config     fakes.ProgramConfig
-	process    *testprocess.Process
+
+	mu      sync.Mutex
+	process *testprocess.Process
+}
+
+// current returns the front end's latest process.
+func (fr *frontEnd) current() *testprocess.Process {
+	fr.mu.Lock()
+	defer fr.mu.Unlock()
+	return fr.process
+}
+
+func (fr *frontEnd) setProcess(p *testprocess.Process) {
+	fr.mu.Lock()
+	defer fr.mu.Unlock()
+	fr.process = p
 }
 
 // start starts front ends whose endpoint list has all engines. They stop when the test ends.
@@ -182,13 +199,28 @@
 // startProcess starts a front end's process and waits until it is healthy.
 func (f *fleet) startProcess(fr *frontEnd) {
 	f.t.Helper()
-	fr.process = testprocess.Start(f.t, fakes.ProgramEnvironment(fr.path, "", f.t.TempDir()))
+	fr.setProcess(testprocess.StartMutant(f.t, f.deployment.mutant, fakes.ProgramEnvironment(fr.path, "", f.t.TempDir())))
 	testprocess.Until(f.t, "the front end to be healthy", func() bool { return fakes.Healthy(fr.addr) })
 }
 
 // call sends a request to a front end and records the response. It fills in an ID, a
 // statement and an entry's idempotency key if the request has none.
 func (f *fleet) call(fr *frontEnd, q fakes.Request) fakes.Outcome {
+	q = f.complete(q)
+	r := fakes.Call(fr.addr, q)
+	f.record(r)
+	return r
+}
+
+// record records outcomes for the check of the rules.
+func (f *fleet) record(outcomes ...fakes.Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.replies = append(f.replies, outcomes...)
+}
+
+// complete fills in what a request lacks.
+func (f *fleet) complete(q fakes.Request) fakes.Request {
 	f.mu.Lock()
 	f.requestCount++
 	number := f.requestCount
@@ -202,11 +234,7 @@
 	if q.Class == entry && q.IdempotencyKey == "" {
 		q.IdempotencyKey = "5c0f6e1a2b3d4c59" + q.ID
 	}
-	r := fakes.Call(fr.addr, q)
-	f.mu.Lock()
-	f.replies = append(f.replies, r)
-	f.mu.Unlock()
-	return r
+	return q
 }
 
 // rowsOf returns the rows that all engines send for a request.
--- a/internal/fakes/client.go
+++ b/internal/fakes/client.go
@@ -44,6 +44,20 @@
 	Err           string
 	Rows          [][]string
 	ProtocolError string // error in reading or polling responses; empty: none
+	// ClosedUnanswered reports that the connection ended before the first byte of a response.
+	ClosedUnanswered bool
+	// Resent is when the request was sent again, as it had crossed the close of a connection;
+	// zero: it was not.
+	Resent time.Time
+	// FirstSent is when a request that was sent again was sent first.
+	FirstSent time.Time
+
+	// turnAt is when the response before the last one to this request was read, if they share a
+	// connection; zero: there was none.
+	turnAt time.Time
+
+	responses        int  // that were read or begun
+	closesConnection bool // the last response is the last one on its connection
 }
 
 // Served reports whether the client received a complete and successful response.
@@ -90,26 +104,33 @@
 	}
 	o.Written = true
 	reader := bufio.NewReader(conn)
-	for {
-		path := o.readResponse(reader)
-		if path == "" {
-			return
-		}
-		if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: origin.svc\r\n\r\n", path); err != nil {
-			o.ProtocolError = fmt.Sprintf("poll: %v", err)
+	for path := o.readResponse(reader); path != ""; path = o.readResponse(reader) {
+		if !o.poll(conn, path) {
 			return
 		}
 	}
 }
 
+// poll requests the next response at a path, and reports whether the request could be written.
+func (o *Outcome) poll(conn net.Conn, path string) bool {
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: origin.svc\r\n\r\n", path); err != nil {
+		o.ProtocolError = fmt.Sprintf("poll: %v", err)
+		return false
+	}
+	return true
+}
+
 // readResponse reads a response and returns the path to poll next, or an empty string if there is
 // none.
 func (o *Outcome) readResponse(reader *bufio.Reader) (path string) {
+	isFirst := o.responses == 0
+	_, peekErr := reader.Peek(1)
 	status, head, body, err := ReadResponse(reader)
+	o.responses++
 	if err != nil {
-		var netError net.Error
-		o.Disconnected = o.DisconnectAfter > 0 && errors.As(err, &netError) && netError.Timeout()
+		o.Disconnected = o.DisconnectAfter > 0 && isTimeout(err)
 		if !o.Disconnected {
+			o.ClosedUnanswered = isFirst && peekErr != nil && !isTimeout(peekErr)
 			o.ProtocolError = fmt.Sprintf("no complete response: %v", err)
 		}
 		return ""
@@ -124,11 +145,17 @@
 		return content.Poll
 	}
 	o.Status = status
+	o.closesConnection = strings.EqualFold(head.Get("Connection"), "close")
 	o.Err = content.Err
 	o.RetryAfterMS, _ = strconv.Atoi(head.Get("Srv-Wait-Ms")) // 0 without the header
 	return ""
 }
 
+func isTimeout(err error) bool {
+	var netError net.Error
+	return errors.As(err, &netError) && netError.Timeout()
+}
+
 // Healthy reports whether a front end responds to a health check with status 200.
 func Healthy(addr string) bool {
 	status, _ := callOnce(addr, "GET /-/healthy HTTP/1.1\r\nHost: origin.svc\r\n\r\n", time.Second)
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -7,6 +7,7 @@
 //	replies.go    replies of engines
 //	discovery.go  the discovery service
 //	client.go     clients
+//	connection.go clients' connections that carry several requests
 //	platform.go   configuration, settings and environment of the program
 //	relay.go      a proxy that delays or breaks connections
 //	rules.go      checks of the rules of the protocol, from the records
--- a/internal/fakes/rules.go
+++ b/internal/fakes/rules.go
@@ -243,7 +243,8 @@
 		differences = append(differences, fmt.Sprintf("time limit %q", a.Fields["w"]))
 	} else if time.Duration(w)*time.Millisecond > remaining+deadlineSlack {
 		differences = append(differences,
-			fmt.Sprintf("time limit %d ms, but only %v remain until the deadline", w, remaining))
+			fmt.Sprintf("time limit %d ms, but only %v remain until the deadline, %v after it was sent",
+				w, remaining, a.ReceivedAt.Sub(r.Sent)))
 	}
 	for name := range a.Fields {
 		if !slices.Contains([]string{"c", "w", "i", "nice"}, name) {
@@ -277,7 +278,7 @@
 	switch {
 	case r.ProtocolError != "":
 		c.report("lost: %s %s: %s after %v", r.Class, r.ID, r.ProtocolError, elapsed)
-	case elapsed > r.Timeout+lateResponseTolerance:
+	case r.isLate():
 		c.report("lost: %s %s received its response after %v, its client waits %v",
 			r.Class, r.ID, elapsed, r.Timeout)
 	case r.Served() && c.rules.Rows != nil && fmt.Sprint(r.Rows) != fmt.Sprint(c.rules.Rows(r.ID)):
@@ -285,6 +286,16 @@
 	}
 }
 
+// isLate reports whether the response came too late. The response to a request that was sent ahead
+// can't come before the one that precedes it on the connection.
+func (o *Outcome) isLate() bool {
+	due := o.Sent.Add(o.Timeout)
+	if o.turnAt.After(due) {
+		due = o.turnAt
+	}
+	return o.Ended.Sub(due) > lateResponseTolerance
+}
+
 // frontEndKilled reports whether the front end of a request was killed while the request was open.
 func (rules *Rules) frontEndKilled(r *Outcome) bool {
 	return slices.ContainsFunc(rules.KilledAt[r.FrontEndAddr], func(t time.Time) bool {
--- a/internal/faulttest/fleet.go
+++ b/internal/faulttest/fleet.go
@@ -183,6 +183,34 @@
 	}
 }
 
+// seriesPause is the time between the signals of a series.
+const seriesPause = 20 * time.Millisecond
+
+// Terminate ends a front end's process, if it is running, as a platform does: SIGTERM, then
+// SIGKILL if the process is still running after killAfter. It sends further signals in between.
+func (f *Fleet) Terminate(front *FrontEnd, killAfter time.Duration, further ...syscall.Signal) {
+	front.mu.Lock()
+	defer front.mu.Unlock()
+	if front.process == nil {
+		return
+	}
+	killAt := time.Now().Add(killAfter)
+	for _, signal := range append([]syscall.Signal{syscall.SIGTERM}, further...) {
+		f.Record("%s: signal %v", front.Name, signal)
+		front.process.Signal(signal)
+		time.Sleep(seriesPause)
+	}
+	code, ended := front.process.EndsWithin(time.Until(killAt))
+	switch {
+	case !ended:
+		f.Record("%s: signal %v", front.Name, syscall.SIGKILL)
+		front.process.Kill()
+	case code != 0:
+		f.t.Errorf("%s exited with status %d after SIGTERM", front.Name, code)
+	}
+	front.process = nil
+}
+
 // KillAll kills the processes of all front ends.
 func (f *Fleet) KillAll() {
 	for _, front := range f.Fronts {
--- a/internal/mysql/fleet_test.go
+++ b/internal/mysql/fleet_test.go
@@ -72,6 +72,7 @@
 
 // loadFleetOptions describe a fleet, the faults and the loads that clients send.
 type loadFleetOptions struct {
+	seed     uint64
 	size     int // number of front ends
 	loads    int
 	maxRunMS int // each step of a statement takes less than this
@@ -103,8 +104,13 @@
 func runLoadFleet(t *testing.T, options loadFleetOptions) loadResults {
 	t.Helper()
 	f := startLoadFleet(t, options)
+	return f.sendLoadsDuring(func() { f.RunTimeline(options.faults) })
+}
+
+// sendLoadsDuring lets clients send loads while faults are injected.
+func (f *loadFleet) sendLoadsDuring(injectFaults func()) loadResults {
 	var faults sync.WaitGroup
-	faults.Go(func() { f.RunTimeline(options.faults) })
+	faults.Go(injectFaults)
 	f.sendLoads()
 	faults.Wait()
 	f.KillAll()
@@ -115,7 +121,7 @@
 	t.Helper()
 	cfg, engines := newConfig(t, 3)
 	for _, e := range engines {
-		e.SetBehavior(runAtRandomLength(options.maxRunMS, options.errorRate))
+		e.SetBehavior(runAtRandomLength(options))
 	}
 	var addrs, paths []string
 	for range options.size {
@@ -125,7 +131,7 @@
 	}
 	f := &loadFleet{t: t, options: options, engines: engines, answers: make([]loadAnswer, options.loads)}
 	f.Fleet = faulttest.Start(t, faulttest.Options{
-		Seed:          *fleetSeed,
+		Seed:          options.seed,
 		Size:          options.size,
 		Engines:       1,
 		Mutant:        options.mutant,
@@ -159,15 +165,15 @@
 }
 
 // runAtRandomLength returns a behavior of an engine in which each step takes a random
-// time of less than maxMS, and in which a part of the runs is answered with an error.
-func runAtRandomLength(maxMS int, errorRate float64) func(step, sql string) string {
-	rng := rand.New(rand.NewPCG(*fleetSeed, 9))
+// time, and in which a part of the runs is answered with an error.
+func runAtRandomLength(options loadFleetOptions) func(step, sql string) string {
+	rng := rand.New(rand.NewPCG(options.seed, 9))
 	var mu sync.Mutex
 	return func(string, string) string {
 		mu.Lock()
-		ms := rng.IntN(maxMS)
+		ms := rng.IntN(options.maxRunMS)
 		action := ""
-		if rng.Float64() < errorRate {
+		if rng.Float64() < options.errorRate {
 			action = engineErrorActions[rng.IntN(len(engineErrorActions))]
 		}
 		mu.Unlock()
@@ -216,7 +222,7 @@
 	var clients sync.WaitGroup
 	for client := range loadFleetClients {
 		clients.Go(func() {
-			rng := rand.New(rand.NewPCG(*fleetSeed, uint64(client)))
+			rng := rand.New(rand.NewPCG(f.options.seed, uint64(client)))
 			for load := client; load < f.options.loads; load += loadFleetClients {
 				time.Sleep(time.Duration(rng.Int64N(maxPause)))
 				f.answers[load] = f.sendUntilAnswered(loadStatement(load), rng, deadline)
@@ -348,6 +354,7 @@
 	t.Run("program", func(t *testing.T) {
 		faultsMS := float64(*faultsDuration / time.Millisecond)
 		results := runLoadFleet(t, loadFleetOptions{
+			seed:      *fleetSeed,
 			size:      *frontEndCount,
 			loads:     *loadCount,
 			maxRunMS:  150,
@@ -365,6 +372,7 @@
 	})
 	t.Run(singleVoteMajorityMutant.Name, func(t *testing.T) {
 		results := runLoadFleet(t, loadFleetOptions{
+			seed:     *fleetSeed,
 			size:     3,
 			loads:    300,
 			maxRunMS: 800,
@@ -378,6 +386,7 @@
 	})
 	t.Run(errorsCompletedMutant.Name, func(t *testing.T) {
 		results := runLoadFleet(t, loadFleetOptions{
+			seed:      *fleetSeed,
 			size:      3,
 			loads:     300,
 			maxRunMS:  50,
--- a/internal/mysql/repeat_test.go
+++ b/internal/mysql/repeat_test.go
@@ -212,7 +212,7 @@
 // TestRepeatThroughAnotherFrontEnd checks the same with leases, for repeats through other
 // front ends, after a restart of the one that ran the load too.
 func TestRepeatThroughAnotherFrontEnd(t *testing.T) {
-	f := startLoadFleet(t, loadFleetOptions{size: 3, maxRunMS: 1})
+	f := startLoadFleet(t, loadFleetOptions{seed: *fleetSeed, size: 3, maxRunMS: 1})
 	t.Run("all running", func(t *testing.T) {
 		checkRepeats(t, f.engines, f.databases[0], f.databases[1], f.databases[2], f.databases[0])
 	})
@@ -262,7 +262,7 @@
 // TestRepeatOfLoadWithRows checks that a repeat of a load that succeeded with rows gets the
 // same rows or the error that they are not kept, but no other result.
 func TestRepeatOfLoadWithRows(t *testing.T) {
-	f := startLoadFleet(t, loadFleetOptions{size: 2, maxRunMS: 1})
+	f := startLoadFleet(t, loadFleetOptions{seed: *fleetSeed, size: 2, maxRunMS: 1})
 	for _, e := range f.engines {
 		e.SetBehavior(func(step, _ string) string {
 			if step == "prepare" {
--- a/internal/testprocess/process.go
+++ b/internal/testprocess/process.go
@@ -172,6 +172,42 @@
 	return p.command.ProcessState.ExitCode()
 }
 
+// EndsWithin waits for the end of the process for a limited time, and reports whether it has ended
+// and its exit code.
+func (p *Process) EndsWithin(limit time.Duration) (exitCode int, ended bool) {
+	select {
+	case err := <-p.exited:
+		p.exited <- err // for Wait
+		return p.command.ProcessState.ExitCode(), true
+	case <-time.After(limit):
+		return 0, false
+	}
+}
+
+// Usage is what a process holds of the host's resources.
+type Usage struct {
+	Descriptors int
+	MemoryBytes int // resident
+}
+
+// Usage returns what the process holds, or false if it has ended.
+func (p *Process) Usage() (usage Usage, running bool) {
+	dir := fmt.Sprintf("/proc/%d/", p.command.Process.Pid)
+	descriptors, err := os.ReadDir(dir + "fd")
+	if err != nil {
+		return Usage{}, false
+	}
+	statm, err := os.ReadFile(dir + "statm")
+	if err != nil {
+		return Usage{}, false
+	}
+	var totalPages, residentPages int
+	if _, err := fmt.Sscan(string(statm), &totalPages, &residentPages); err != nil || residentPages == 0 {
+		return Usage{}, false
+	}
+	return Usage{Descriptors: len(descriptors), MemoryBytes: residentPages * os.Getpagesize()}, true
+}
+
 // Kill kills the process and waits for its end.
 func (p *Process) Kill() {
 	p.t.Helper()
