control: late dashboards give way where engines share a thread limit, too

Seen by callers: in fleets with more gateways than cores an engine, a late dashboard kept its threads on a full kind of engine, and others waited.

Cause: isLateAtLimit compared the dashboard threads on one engine with the limit, which is for all engines of the kind together where they share it; a few threads per gateway never reach it.

Evidence: TestLateDashboardsUnderASharedLimit before: "a late dashboard keeps its threads although the dashboards are at their limit".

--- a/control/supervision.go
+++ b/control/supervision.go
@@ -99,10 +99,10 @@
 }
 
 // isLateAtLimit reports whether the attempt is of a late dashboard and the dashboard threads
-// of its engine have reached dashboardConcurrencyLimit: others need its threads.
+// under its engine's thread limit have reached dashboardConcurrencyLimit: others need its
+// threads.
 func (g *Gateway) isLateAtLimit(r *request, a *attempt) bool {
-	return r.class.isDashboard && g.nowMS > g.objectiveAtMS(r) &&
-		float64(a.engine.load.dashboardThreads) >= g.dashboardConcurrencyLimit(r.class, a.engine)
+	return r.class.isDashboard && g.nowMS > g.objectiveAtMS(r) && g.dashboardsAtLimit(r.class, a.engine)
 }
 
 // responseLost reports whether the response to a request that must not be repeated is
--- a/control/threadlimit_test.go
+++ b/control/threadlimit_test.go
@@ -192,3 +192,26 @@
 		t.Errorf("%d cancelled, want 8", k)
 	}
 }
+
+// A late dashboard gives way where engines share a thread limit, too: the limit of dashboards
+// is for all these engines together, and so are the threads compared with it.
+func TestLateDashboardsUnderASharedLimit(t *testing.T) {
+	tr := newScenario(t, manyGateways(), engines("a", "b", "c", "d")...)
+	const deadlineMS = 2000
+	for i := range 2 {
+		tr.arrive(fmt.Sprint(i), 0, 50, deadlineMS)
+	}
+	g := tr.gateway
+	r := g.requestByID["0"]
+	a := &r.attempts[0]
+	if a.engine.load.dashboardThreads != 1 || !g.dashboardsAtLimit(r.class, a.engine) {
+		t.Fatalf("%d threads on the engine, want 1, and the two dashboards at the limit", a.engine.load.dashboardThreads)
+	}
+	if g.isLateAtLimit(r, a) {
+		t.Error("a dashboard within its objective gives way")
+	}
+	g.nowMS += deadlineMS
+	if !g.isLateAtLimit(r, a) {
+		t.Error("a late dashboard keeps its threads although the dashboards are at their limit")
+	}
+}
