control: a gateway's own threads count once beside a load report

Seen by callers: in fleets with more gateways than cores an engine, a dashboard went to a busier engine than the least loaded one, away from engines that ran this gateway's own work.

Cause: engineForDashboard added the gateway's own threads to those of the load report, which counts them already.

Evidence: TestOwnThreadsCountOnceBesideALoadReport before: "started on engine b, which runs 3 threads, and not on a, which runs 2".

--- a/control/routing.go
+++ b/control/routing.go
@@ -58,22 +58,23 @@
 		if g.dashboardsAtLimit(r.class, e) {
 			return math.Inf(1)
 		}
-		threads := float64(e.load.threads() + r.class.Threads)
-		if e.sharesThreadLimit {
-			threads += g.peerThreads(e)
-		}
-		return threads / g.effectiveCores(e)
+		return (g.threadsOn(e) + float64(r.class.Threads)) / g.effectiveCores(e)
 	})
 }
 
-// peerThreads estimates the threads that the peers run on an engine. A load report also
-// counts this gateway's threads. Without a recent report the estimate is one thread per
-// core.
-func (g *Gateway) peerThreads(e *engine) float64 {
-	if g.nowMS-e.load.reportedAtMS < routingReportMaxAgeMS {
-		return e.load.reportedThreads + e.load.threadsSinceReport
+// threadsOn returns the threads that run on an engine, as far as this gateway knows. A load
+// report counts those of all gateways. Without a recent one, the peers are assumed to run one
+// thread per core.
+func (g *Gateway) threadsOn(e *engine) float64 {
+	own := float64(e.load.threads())
+	switch {
+	case !e.sharesThreadLimit:
+		return own
+	case g.nowMS-e.load.reportedAtMS < routingReportMaxAgeMS:
+		return max(own, e.load.reportedThreads+e.load.threadsSinceReport)
+	default:
+		return own + e.cores
 	}
-	return e.cores
 }
 
 // engineForSecondary chooses an engine for secondary work by headroom under its thread
--- a/control/threadlimit_test.go
+++ b/control/threadlimit_test.go
@@ -215,3 +215,20 @@
 		t.Error("a late dashboard keeps its threads although the dashboards are at their limit")
 	}
 }
+
+// A gateway's own threads count once beside a load report, which contains them.
+func TestOwnThreadsCountOnceBesideALoadReport(t *testing.T) {
+	tr := newScenario(t, manyGateways(), engines("a", "b")...)
+	own, peers := tr.gateway.engineByID["a"], tr.gateway.engineByID["b"]
+	own.load = engineLoad{secondaryThreads: 2, reportedThreads: 2, reportedAtMS: tr.nowMS}
+	peers.load = engineLoad{reportedThreads: 3, reportedAtMS: tr.nowMS}
+	started := tr.arrive("dashboard", 0, 50, 2000)
+	for _, a := range started {
+		if a.Kind == StartAttempt && a.Engine != "a" {
+			t.Errorf("started on engine %s, which runs 3 threads, and not on a, which runs 2", a.Engine)
+		}
+	}
+	if countActions(started, StartAttempt) != 1 {
+		t.Errorf("%d attempts started, want 1", countActions(started, StartAttempt))
+	}
+}
