--- a/control/retry_test.go
+++ b/control/retry_test.go
@@ -60,3 +60,31 @@
 		}
 	}
 }
+
+// Guards against requests that fail because the gateway itself cancelled their attempts for a
+// retry that its budget does not allow: attempts cancelled at once must not count on one token.
+func TestCancelledAttemptsHaveARetryEach(t *testing.T) {
+	const requests = 3
+	s := oneGateway()
+	s.RetryBudgetBase = 1
+	s.RetryBudgetPerRequest = 0
+	s.RetryBudgetWindowMS = 4000
+	tr := newScenario(t, s, engines("a", "b", "c", "d")...)
+	for i := range requests {
+		tr.arrive(fmt.Sprint(i), 0, 50, 2000)
+	}
+	tr.advance(1500) // the engines give no sign of life
+	for _, a := range tr.actions {
+		if a.Kind == CancelAttempt && a.Reason == UnresponsiveAttempt {
+			tr.endAttempt(a.RequestID, Cancelled)
+		}
+	}
+	for _, a := range tr.finals {
+		if a.Reason == RetryBudgetExhausted {
+			t.Errorf("request %s failed: its attempt was cancelled for a retry beyond the budget", a.RequestID)
+		}
+	}
+	if countActions(tr.actions, CancelAttempt) == 0 {
+		t.Error("no attempt was cancelled")
+	}
+}
