--- a/internal/acceptance/soak_test.go
+++ b/internal/acceptance/soak_test.go
@@ -18,7 +18,7 @@
 
 var (
 	soakSeeds    = flag.Int("soakseeds", 2, "number of seeds that TestSoak runs, from the seed of -seed on")
-	soakDuration = flag.Duration("soaklasts", 12*time.Second, "duration of the signals and requests of one seed of TestSoak")
+	soakDuration = flag.Duration("soaklasts", 12*time.Second, "duration of the signals and requests of a seed")
 )
 
 const (
@@ -152,8 +152,8 @@
 	}
 	for _, a := range attemptsAt(s.engines) {
 		if at, found := resent[a.ID]; found && a.ReceivedAt.Before(at) {
-			violations = append(violations, fmt.Sprintf("lost: %s was sent to %s, and its connection was closed without a response",
-				a.ID, a.Engine))
+			violations = append(violations,
+				fmt.Sprintf("lost: %s was sent to %s, and its connection was closed without a response", a.ID, a.Engine))
 		}
 	}
 	return violations
@@ -190,7 +190,7 @@
 	defer connection.Close()
 	for time.Now().Before(end) {
 		if k%4 == 3 && rng.IntN(3) == 0 {
-			s.leaveWhileQueued(connection, fr, k)
+			s.disconnectWhileQueued(connection, fr, k)
 		}
 		requests := []fakes.Request{s.complete(s.drawRequest(rng, k))}
 		if k%4 == 1 {
@@ -204,9 +204,9 @@
 	}
 }
 
-// leaveWhileQueued sends two entries with the same key. The client of the second leaves while
+// disconnectWhileQueued sends two entries with the same key. The client of the second leaves while
 // it waits for the end of the first.
-func (s *soak) leaveWhileQueued(connection *fakes.Connection, fr *frontEnd, k int) {
+func (s *soak) disconnectWhileQueued(connection *fakes.Connection, fr *frontEnd, k int) {
 	q := fakes.Request{Class: entry, Key: fmt.Sprint("key-", k), Timeout: 2 * time.Second}
 	var first sync.WaitGroup
 	completed := s.complete(q)
@@ -358,7 +358,8 @@
 func (s *soak) restartEarly(fr *frontEnd, wait func()) {
 	startNext := s.beginRestart(fr)
 	s.terminate(fr, func() {})
-	fr.setProcess(testprocess.StartMutant(s.t, s.deployment.mutant, fakes.ProgramEnvironment(fr.path, "", s.t.TempDir())))
+	environment := fakes.ProgramEnvironment(fr.path, "", s.t.TempDir())
+	fr.setProcess(testprocess.StartMutant(s.t, s.deployment.mutant, environment))
 	wait()
 	fr.process.Signal(syscall.SIGTERM)
 	if _, ended := fr.process.EndsWithin(s.maxDeadline + killAfterDeadline); !ended {
@@ -408,10 +409,12 @@
 // for its clients, and that it holds no more than half of its memory.
 func (s *soak) checkUsage(fr *frontEnd, before, after testprocess.Usage) {
 	if after.Descriptors > before.Descriptors+*clientCount {
-		s.reportProcess("%s has %d descriptors open after a crowd, %d before", fr.config.Name, after.Descriptors, before.Descriptors)
+		s.reportProcess("%s has %d descriptors open after a crowd, %d before",
+			fr.config.Name, after.Descriptors, before.Descriptors)
 	}
 	if maxBytes := fr.config.Limits.MemoryMB << 20 / 2; after.MemoryBytes > maxBytes && !testprocess.RaceEnabled {
-		s.reportProcess("%s holds %d bytes after a crowd, half of its limit is %d", fr.config.Name, after.MemoryBytes, maxBytes)
+		s.reportProcess("%s holds %d bytes after a crowd, half of its limit is %d",
+			fr.config.Name, after.MemoryBytes, maxBytes)
 	}
 }
 
@@ -433,7 +436,8 @@
 		Name: "sockets of clients that have left stay open",
 		File: "internal/httpfront/connection.go",
 		Old:  "		_ = c.socket.Close()\n		<-s.slots\n",
-		New:  "		c.now = func() float64 { _ = c.socket; return 0 }\n		s.loop.After(1e9, func() { _ = c.now() })\n		<-s.slots\n",
+		New: "		s.loop.After(1e9, func() { _ = c.socket })\n" +
+			"		<-s.slots\n",
 	},
 	{
 		Name: "attempts go on after the client has left",
--- a/internal/fakes/client.go
+++ b/internal/fakes/client.go
@@ -52,9 +52,9 @@
 	// FirstSent is when a request that was sent again was sent first.
 	FirstSent time.Time
 
-	// turnAt is when the response before the last one to this request was read, if they share a
+	// headOfLineAt is when the response before the last one to this request was read, if they share a
 	// connection; zero: there was none.
-	turnAt time.Time
+	headOfLineAt time.Time
 
 	responses        int  // that were read or begun
 	closesConnection bool // the last response is the last one on its connection
--- a/internal/fakes/connection.go
+++ b/internal/fakes/connection.go
@@ -8,9 +8,9 @@
 	"time"
 )
 
-// crossingWindow is the time within which a request may cross the close of a connection without an
+// closeRaceWindow is the time within which a request may cross the close of a connection without an
 // open request. The client then sends it again once.
-const crossingWindow = 50 * time.Millisecond
+const closeRaceWindow = 50 * time.Millisecond
 
 // Connection is a client's connection that carries one request after another. It is opened when it
 // is needed.
@@ -75,7 +75,7 @@
 	if reused && !o.Written {
 		return true
 	}
-	crossed := reused && o.Ended.Sub(o.Sent) <= crossingWindow+Tolerance
+	crossed := reused && o.Ended.Sub(o.Sent) <= closeRaceWindow+Tolerance
 	return o.ClosedUnanswered && (crossed || sentAhead)
 }
 
@@ -116,7 +116,7 @@
 		o := waiting[0]
 		waiting = waiting[1:]
 		if len(outcomes) > 1 {
-			o.turnAt = time.Now()
+			o.headOfLineAt = time.Now()
 		}
 		path := o.readResponse(c.reader)
 		o.Ended = time.Now()
--- a/internal/fakes/rules.go
+++ b/internal/fakes/rules.go
@@ -34,8 +34,10 @@
 	Rows                 func(id string) [][]string // rows that engines send for a request; nil: not checked
 	DrainedAt            map[string]time.Time       // publication of the drain, by engine
 	Restarts             map[string][]Restart       // by front end
-	Kills                map[string][]Restart       // by front end, from SIGKILL to the end of the process; requests open then are lost
-	RetryBudget          RetryBudget
+	// Kills are the periods from SIGKILL to the end of the process, by front end. Requests open then
+	// are lost.
+	Kills       map[string][]Restart
+	RetryBudget RetryBudget
 }
 
 // Restart is the period from the end of a process of a front end until the next process accepts
@@ -290,8 +292,8 @@
 // can't come before the one that precedes it on the connection.
 func (o *Outcome) isLate() bool {
 	due := o.Sent.Add(o.Timeout)
-	if o.turnAt.After(due) {
-		due = o.turnAt
+	if o.headOfLineAt.After(due) {
+		due = o.headOfLineAt
 	}
 	return o.Ended.Sub(due) > lateResponseTolerance
 }
--- a/internal/membershipsim/leave_test.go
+++ b/internal/membershipsim/leave_test.go
@@ -6,9 +6,9 @@
 	"dewhill/internal/membership"
 )
 
-// leaveTimes terminates processes of a fleet, one after another, and returns the times until
+// departureTimes terminates processes of a fleet, one after another, and returns the times until
 // the watchers of each, and until all others, know that it has left.
-func leaveTimes(seed uint64, size, victims int) (watchersMS, allMS []float64) {
+func departureTimes(seed uint64, size, victims int) (watchersMS, allMS []float64) {
 	const intervalMS = 15_000
 	s := New(Options{Seed: seed, Size: size})
 	s.Run(minuteMS)
@@ -55,15 +55,17 @@
 	const size, victims, seeds = 300, 6, 2
 	var watchersMS, allMS []float64
 	for seed := range uint64(seeds) {
-		watchers, all := leaveTimes(seed, size, victims)
+		watchers, all := departureTimes(seed, size, victims)
 		watchersMS, allMS = append(watchersMS, watchers...), append(allMS, all...)
 	}
 	t.Logf("%d watchers knew after %.0f to %.0f ms, all of %d after %.0f ms (median)",
 		len(watchersMS), Quantile(watchersMS, 0), Quantile(watchersMS, 1), size, Quantile(allMS, 0.5))
 	if len(watchersMS) < victims*seeds {
-		t.Errorf("%d watchers noticed that one of %d processes left, want one for each at least", len(watchersMS), victims*seeds)
+		t.Errorf("%d watchers noticed that one of %d processes left, want one for each at least",
+			len(watchersMS), victims*seeds)
 	}
 	if slowest := Quantile(watchersMS, 1); slowest > defaultMaxDelayMS {
-		t.Errorf("a watcher knew after %.0f ms, want the delay of one datagram, %d ms at most", slowest, defaultMaxDelayMS)
+		t.Errorf("a watcher knew after %.0f ms, want the delay of one datagram, %d ms at most",
+			slowest, defaultMaxDelayMS)
 	}
 }
--- a/internal/mysql/leases.go
+++ b/internal/mysql/leases.go
@@ -71,7 +71,7 @@
 func (o outcome) runResult() (lease.RunResult, []byte) {
 	switch o.loadResult() {
 	case loadSucceeded:
-		return lease.Completed, o.result.packetToKeep()
+		return lease.Completed, o.result.packetToRetain()
 	case loadHadNoEffect:
 		return lease.NeverRan, nil
 	default:
@@ -79,15 +79,15 @@
 	}
 }
 
-// rowsNotKeptPacket stands for a load that succeeded with rows, which are not kept with
+// rowsNotRetainedPacket stands for a load that succeeded with rows, which are not kept with
 // its lease. Front ends of earlier versions give it on as an OK packet.
-var rowsNotKeptPacket = append(okPacket(0, 0), "rows of the first run are not kept"...)
+var rowsNotRetainedPacket = append(okPacket(0, 0), "rows of the first run are not kept"...)
 
-// packetToKeep returns the OK packet that is kept of a load that succeeded. Only the
+// packetToRetain returns the OK packet that is kept of a load that succeeded. Only the
 // message at the end of an OK packet can be so long that it is cut off.
-func (r *Result) packetToKeep() []byte {
+func (r *Result) packetToRetain() []byte {
 	if r.OK == nil {
-		return rowsNotKeptPacket
+		return rowsNotRetainedPacket
 	}
 	return r.OK[:min(len(r.OK), lease.MaxOutcomeBytes)]
 }
@@ -97,8 +97,8 @@
 func (s *Server) decisionOutcome(decision lease.Decision) outcome {
 	switch decision.Kind {
 	case lease.AlreadyCompleted:
-		if bytes.Equal(decision.Outcome, rowsNotKeptPacket) {
-			return outcome{err: rowsNotKept()}
+		if bytes.Equal(decision.Outcome, rowsNotRetainedPacket) {
+			return outcome{err: rowsNotRetained()}
 		}
 		return outcome{result: &Result{OK: decision.Outcome}}
 	case lease.PossiblyRan, lease.RunningElsewhere:
--- a/internal/mysql/leases_test.go
+++ b/internal/mysql/leases_test.go
@@ -26,7 +26,8 @@
 	engineOK := append(okPacket(affectedRows, insertID), strings.Repeat("x", 300)...)
 	result, kept := outcome{result: &Result{OK: engineOK}}.runResult()
 	if result != lease.Completed || len(kept) > lease.MaxOutcomeBytes {
-		t.Fatalf("recorded as %v with %d bytes, want completed with at most %d", result, len(kept), lease.MaxOutcomeBytes)
+		t.Fatalf("recorded as %v with %d bytes, want completed with at most %d",
+			result, len(kept), lease.MaxOutcomeBytes)
 	}
 	fields := payloadReader{rest: kept[1:]}
 	rows, _ := fields.lengthEncodedInt()
--- a/internal/mysql/loads.go
+++ b/internal/mysql/loads.go
@@ -7,7 +7,7 @@
 )
 
 // maxRetainedResultBytes limits the rows that are kept of a load with an id. If the
-// rows were larger, a repeat of the load gets the error rowsNotKept.
+// rows were larger, a repeat of the load gets the error rowsNotRetained.
 const maxRetainedResultBytes = 4 << 10
 
 // maxLoadIDBytes limits the length of a load's id.
@@ -61,7 +61,7 @@
 	case o.loadResult() == loadMayHaveRun:
 		return outcome{err: mayHaveRun()}
 	case o.err == nil && o.result.hasRows() && o.result.binary != prepared:
-		return outcome{err: rowsNotKept()}
+		return outcome{err: rowsNotRetained()}
 	default:
 		return o
 	}
@@ -70,15 +70,15 @@
 // retained returns the outcome to keep for later repeats.
 func (o outcome) retained() outcome {
 	if o.err == nil && o.result != nil && o.result.rowBytes > maxRetainedResultBytes {
-		return outcome{err: rowsNotKept()}
+		return outcome{err: rowsNotRetained()}
 	}
 	return o
 }
 
-// rowsNotKept answers a repeat of a load that succeeded with rows that the repeat can't
+// rowsNotRetained answers a repeat of a load that succeeded with rows that the repeat can't
 // get.
-func rowsNotKept() *Error {
-	return &Error{codeRowsNotKept, "02000", "this load has run and succeeded, but its rows are not kept"}
+func rowsNotRetained() *Error {
+	return &Error{codeRowsNotRetained, "02000", "this load has run and succeeded, but its rows are not kept"}
 }
 
 func (s *Server) class(t requestOptions) *simproto.Class { return &s.config.Settings.Classes[t.class] }
@@ -131,7 +131,9 @@
 // joinLoad reports whether the server has a record of the load. If it has, the load
 // must not run again, and joinLoad calls done with the recorded outcome, now or when
 // the run ends.
-func (s *Server) joinLoad(c *client, name string, statement *Statement, fingerprint string, done func(outcome)) bool {
+func (s *Server) joinLoad(
+	c *client, name string, statement *Statement, fingerprint string, done func(outcome),
+) bool {
 	load := s.loads[name]
 	if load == nil {
 		return false
--- a/internal/mysql/protocol.go
+++ b/internal/mysql/protocol.go
@@ -133,7 +133,7 @@
 	codeNotSupported       = 1235
 	codeUnknownHandle      = 1243
 	codeQueryInterrupted   = 1317
-	codeRowsNotKept        = 1329 // a repeat of a load that succeeded, with rows that are not kept
+	codeRowsNotRetained    = 1329 // a repeat of a load that succeeded, with rows that are not kept
 	codeTooManyStatements  = 1461
 	codeNeedsReprepare     = 1615
 	codeMalformedPacket    = 1835
--- a/internal/mysql/repeat_test.go
+++ b/internal/mysql/repeat_test.go
@@ -18,17 +18,17 @@
 
 // Codes of engines' errors.
 const (
-	engineNoSuchTable  = 1146
-	engineDeadlock     = 1213
-	engineLockTimeout  = 1205
-	engineDuplicate    = 1062
-	engineInterrupted  = 1317
-	engineUnknownError = 1105
-	engineTimeLimit    = 3024
-	engineCommitFailed = 1180
-	engineUnknownCode  = 4711
-	codeRowsNotKept    = 1329
-	codeUnknownLoad    = 1233
+	engineNoSuchTable   = 1146
+	engineDeadlock      = 1213
+	engineLockTimeout   = 1205
+	engineDuplicate     = 1062
+	engineInterrupted   = 1317
+	engineUnknownError  = 1105
+	engineTimeLimit     = 3024
+	engineCommitFailed  = 1180
+	engineUnknownCode   = 4711
+	codeRowsNotRetained = 1329
+	codeUnknownLoad     = 1233
 )
 
 // failedRun is a load's first run, which its engine answers with an error.
@@ -62,7 +62,9 @@
 		codeServerShutdown, engineInterrupted, engineUnknownError, engineTimeLimit, engineCommitFailed,
 		codeTooManyConnections, codeRejected, engineUnknownCode} {
 		for _, prepared := range []bool{false, true} {
-			runs = append(runs, failedRun{code, "error", prepared, false}, failedRun{code, "rows-error", prepared, false},
+			runs = append(runs,
+				failedRun{code, "error", prepared, false},
+				failedRun{code, "rows-error", prepared, false},
 				failedRun{code, "error", prepared, true})
 		}
 	}
@@ -284,8 +286,8 @@
 		"prepared, another front end":  func() (int, error) { return queryRows(f.databases[1], statement, true) },
 	} {
 		n, err := repeat()
-		if number, state := mysqlError(err); number != codeRowsNotKept || state != "02000" {
-			t.Errorf("%s: %d rows, %v, want error %d", name, n, err, codeRowsNotKept)
+		if number, state := mysqlError(err); number != codeRowsNotRetained || state != "02000" {
+			t.Errorf("%s: %d rows, %v, want error %d", name, n, err, codeRowsNotRetained)
 		}
 	}
 	if ran := f.engines[0].Ran("INSERT") + f.engines[1].Ran("INSERT") + f.engines[2].Ran("INSERT"); ran != 1 {
--- a/internal/mysql/result_test.go
+++ b/internal/mysql/result_test.go
@@ -29,7 +29,10 @@
 // rows, the second of them the rest of the first.
 func TestRowOfSeveralPackets(t *testing.T) {
 	const limit = 40 << 20
-	for _, rowBytes := range []int{maxPayloadBytes - 1, maxPayloadBytes, maxPayloadBytes + 1, 2 * maxPayloadBytes, 2*maxPayloadBytes + 7} {
+	sizes := []int{
+		maxPayloadBytes - 1, maxPayloadBytes, maxPayloadBytes + 1, 2 * maxPayloadBytes, 2*maxPayloadBytes + 7,
+	}
+	for _, rowBytes := range sizes {
 		s, row := replyWithRow(t, rowBytes)
 		result, err := s.readResult(limit)
 		if err != nil {
--- a/internal/mysql/soak_test.go
+++ b/internal/mysql/soak_test.go
@@ -25,8 +25,10 @@
 	for i := range *soakSeeds {
 		seed := *fleetSeed + uint64(i)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			f := startLoadFleet(t, loadFleetOptions{seed: seed, size: 3, loads: *loadCount, maxRunMS: 150, errorRate: 0.1})
-			results := f.sendLoadsDuring(func() { f.sendSignals(rand.New(rand.NewPCG(seed, 5)), time.Now().Add(*faultsDuration)) })
+			options := loadFleetOptions{seed: seed, size: 3, loads: *loadCount, maxRunMS: 150, errorRate: 0.1}
+			f := startLoadFleet(t, options)
+			rng := rand.New(rand.NewPCG(seed, 5))
+			results := f.sendLoadsDuring(func() { f.sendSignals(rng, time.Now().Add(*faultsDuration)) })
 			t.Logf("%d loads got a response, %d of them %q", results.answered, results.mayHaveRun, mayHaveRun)
 			for _, violation := range results.violations {
 				t.Error(violation)
--- a/internal/server/updatesteps_test.go
+++ b/internal/server/updatesteps_test.go
@@ -40,7 +40,8 @@
 	const engineCount, frontEndCount, plays = 3200, 900, 5
 	best := map[string]time.Duration{}
 	for range plays {
-		table := newEndpointTable(subset.Plan{GatewayIndex: 5, GatewayCount: frontEndCount, Size: subset.AutoSize, MaxThreads: 4}, []int{2})
+		plan := subset.Plan{GatewayIndex: 5, GatewayCount: frontEndCount, Size: subset.AutoSize, MaxThreads: 4}
+		table := newEndpointTable(plan, []int{2})
 		engines := makeEngines(engineCount)
 		table.merge(true, engines)
 		table.visible()
@@ -54,8 +55,7 @@
 			table.merge(true, engines)
 			table.visible()
 		})
-		left := engines[3]
-		left.Removed = true
+		engines[3].Removed = true
 		measure("engine that leaves", func() {
 			table.merge(false, engines[3:4])
 			table.visible()
