Review case 3: a server that has left the file goes on getting loads

review/3 gives one of four MySQL engines another address and sends SIGHUP while a load runs at the old server. In 14 s that one gets 10 more loads, one a second, later than 4.55 s after SIGHUP, and their clients get its OK.

A session that is busy when its engine moves is used again afterwards: internal/mysql/pool.go, setEndpoint, and attempt.go, attemptEnded.

--- a/review/standin/cases/main.go
+++ b/review/standin/cases/main.go
@@ -15,6 +15,7 @@
 const limit = 110 * time.Second
 
 var cases = map[string]func(*harness.Case){
+	"moved":   moved,
 	"retry":   retry,
 	"rolling": rolling,
 }
