--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
 [ -x ../bin/cases ] && [ -x ../../bin/dewhill ] || exit 2
-exec ../bin/cases moved .
+exec ../bin/cases restart .
--- a/review/standin/cases/main.go
+++ b/review/standin/cases/main.go
@@ -15,7 +15,7 @@
 const limit = 110 * time.Second
 
 var cases = map[string]func(*harness.Case){
-	"moved":   moved,
+	"restart": restart,
 	"retry":   retry,
 	"rolling": rolling,
 }
