--- a/review/standin/cases/deployment.go
+++ b/review/standin/cases/deployment.go
@@ -108,17 +108,6 @@
 	}
 }
 
-// record sets whether the record tells of each statement at the servers.
-func (d *deployment) record(on bool) {
-	log := d.c.Logf
-	if !on {
-		log = func(string, ...any) {}
-	}
-	for _, s := range d.servers {
-		s.SetLog(log)
-	}
-}
-
 // runs returns the runs of the statements that contain a text, at all servers.
 func (d *deployment) runs(text string) (list []mywire.Run) {
 	for _, s := range d.servers {
--- a/review/standin/cases/fleet.go
+++ b/review/standin/cases/fleet.go
@@ -130,7 +130,6 @@
 	)
 	d := deploy(c, servers, 0)
 	d.startFleet(fronts)
-	d.record(false) // thousands of loads are counted, not recorded
 	sql := func(n int) string {
 		return fmt.Sprintf("/* dewhill: id=batch-%04d key=dock-%04d */ INSERT INTO trips_5.batch VALUES (%d)", n, n, n)
 	}
@@ -140,11 +139,12 @@
 	for n := range ids {
 		<-tick.C
 		all.Go(func() {
-			if reply, err := d.fronts[n%fronts].ask(sql(n)); err == nil && reply.OK {
+			f := d.fronts[n%fronts]
+			reply, err := f.ask(sql(n))
+			if err == nil && reply.OK {
 				ok.Add(1)
-			} else {
-				c.Logf("load %d: %v, %v", n, reply, err)
 			}
+			c.Logf("load %d sent to %s, answer: %v, error: %v", n, f.name, reply, err)
 		})
 	}
 	tick.Stop()
@@ -168,10 +168,10 @@
 			f.logState()
 		}
 	}
-	d.record(true)
 	answers := map[string]int{}
 	for n := 0; n < ids; n += every {
 		reply, err := d.fronts[0].ask(sql(n))
+		c.Logf("load %d sent again to %s, answer: %v, error: %v", n, d.fronts[0].name, reply, err)
 		answer := "no answer"
 		if err == nil {
 			answer, _, _ = strings.Cut(reply.String(), ":")
--- a/review/standin/mywire/engine.go
+++ b/review/standin/mywire/engine.go
@@ -70,13 +70,6 @@
 	}
 }
 
-// SetLog sets the function that records what the engine does.
-func (e *Engine) SetLog(log func(format string, args ...any)) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.Log = log
-}
-
 // Runs returns the runs of the statements that contain a text.
 func (e *Engine) Runs(text string) (list []Run) {
 	e.mu.Lock()
