lease: a restarted front end copies the fleet's records in seconds, not a minute

Cause, first of three: a front end that returned compared all its records with all others every 150 ms, from the top. Each comparison of 2,760 records cost up to 272 messages a voter, which were booked to the same 32,768 bytes a second as the records, and records were sent from what was left.

Change: the member that catches up goes in steps of 50 ms, which ask a few members for a few ranges each and ask again only for what still differs after 300 ms; comparisons of a catch-up have a budget of their own (1 MB a second, bursts of 48 KB), so neither they nor the outcomes of running loads wait for the other. It no longer takes part in the voters' routine comparisons. Messages on the wire are the same. The log line of its vote gives records and time.

--- a/internal/antientropy/budget.go
+++ b/internal/antientropy/budget.go
@@ -1,24 +1,31 @@
 package antientropy
 
-// burstSeconds is the capacity of a SendBudget, in seconds of its average rate.
+// burstSeconds is the default capacity of a SendBudget, in seconds of its average rate.
 const burstSeconds = 4
 
 // SendBudget is a token bucket that bounds the average rate of sent bytes.
 type SendBudget struct {
 	bytesPerSecond float64
+	capacityBytes  float64
 	availableBytes float64
 	refilledAtMS   float64
 }
 
-// NewSendBudget returns a full budget at time 0.
+// NewSendBudget returns a full budget at time 0, whose capacity is the bytes of
+// burstSeconds.
 func NewSendBudget(bytesPerSecond float64) SendBudget {
-	return SendBudget{bytesPerSecond: bytesPerSecond, availableBytes: burstSeconds * bytesPerSecond}
+	return NewSendBudgetWithBurst(bytesPerSecond, burstSeconds*bytesPerSecond)
+}
+
+// NewSendBudgetWithBurst returns a full budget at time 0 with the given capacity.
+func NewSendBudgetWithBurst(bytesPerSecond, burstBytes float64) SendBudget {
+	return SendBudget{bytesPerSecond: bytesPerSecond, capacityBytes: burstBytes, availableBytes: burstBytes}
 }
 
 // Refill adds the bytes accrued since the last call. Time must not go backwards.
 func (b *SendBudget) Refill(nowMS float64) {
 	accrued := (nowMS - b.refilledAtMS) * b.bytesPerSecond / 1000
-	b.availableBytes = min(burstSeconds*b.bytesPerSecond, b.availableBytes+accrued)
+	b.availableBytes = min(b.capacityBytes, b.availableBytes+accrued)
 	b.refilledAtMS = nowMS
 }
 
--- a/internal/antientropy/compare.go
+++ b/internal/antientropy/compare.go
@@ -97,14 +97,14 @@
 		if !hasBudget() {
 			return
 		}
-		visit(t.content(r.child(i), rng))
+		visit(t.Content(r.child(i), rng))
 	}
 }
 
-// content describes a range. A range with more than maxListedEntries entries is
+// Content describes a valid range. A range with more than maxListedEntries entries is
 // described by the digests of its children, if it has any. Every other range is
 // described by its entries, or by a random sample of maxItems of them.
-func (t *Tree[E]) content(r Range, rng *rand.Rand) RangeContent {
+func (t *Tree[E]) Content(r Range, rng *rand.Rand) RangeContent {
 	if r.HasChildren() && t.counts[r.Level][r.Index] > maxListedEntries {
 		return t.Summary(r)
 	}
--- a/internal/cluster/leases.go
+++ b/internal/cluster/leases.go
@@ -39,7 +39,8 @@
 	l.cluster.sendAll(peer.Lease, effects.Sends)
 	if l.manager.CanVote() && !l.canVote {
 		l.canVote = true
-		l.cluster.host.Logf("lease: voting, recovered without a quorum: %v", l.manager.Counters.RecoveriesWithoutQuorum > 0)
+		l.cluster.host.Logf("lease: voting, recovered without a quorum: %v, with %d records after %.0f ms",
+			l.manager.Counters.RecoveriesWithoutQuorum > 0, l.manager.RecordCount(), l.manager.UptimeMS())
 	}
 	for _, decision := range effects.Decisions {
 		l.complete(decision)
--- a/internal/lease/antientropy.go
+++ b/internal/lease/antientropy.go
@@ -6,13 +6,13 @@
 	"dewhill/internal/antientropy"
 )
 
-// startComparison starts a comparison with a random live member, or with all members
-// while this member catches up.
+// startComparison starts a comparison with a random live member, or takes a step of
+// this member's catch-up.
 func (m *Manager) startComparison() {
 	m.nextCompareMS = m.nowMS + m.options.Times.CompareIntervalMS*(0.9+0.2*m.rng.Float64())
 	if !m.CanVote() {
-		m.nextCompareMS = m.nowMS + recoveryCompareIntervalMS
-		m.probeForRecovery()
+		m.nextCompareMS = m.nowMS + recoveryStepMS
+		m.stepRecovery()
 		return
 	}
 	if len(m.members.alive) > 0 {
@@ -22,8 +22,12 @@
 }
 
 // receiveProbe compares a member's digest with that of this copy. It replies that they
-// match, or with the digests of the top ranges.
+// match, or with the digests of the top ranges. A member that catches up replies only
+// to others that do: its own steps compare its copy with those of voters.
 func (m *Manager) receiveProbe(from Peer, msg *message) {
+	if !m.CanVote() && msg.nonce == 0 {
+		return
+	}
 	if msg.digest == m.Digest() {
 		m.send(from, &message{verb: verbMatch, digest: msg.digest, nonce: msg.nonce})
 		return
@@ -48,16 +52,24 @@
 
 // receiveMatch records that a member's copy is equal to this one.
 func (m *Manager) receiveMatch(from Peer, msg *message) {
-	if msg.nonce == m.recovery.nonce && msg.digest == m.Digest() {
+	if m.isRecoveryReply(msg) && msg.digest == m.Digest() {
 		m.markEqual(from, 0, recoveryRanges, msg.canVote)
 	}
 }
 
 // receiveRangeSums continues the comparison in the ranges that differ.
 func (m *Manager) receiveRangeSums(from Peer, msg *message) {
-	m.recoverRanges(from, msg)
-	hasBudget := func() bool { return m.budget.Allows(m.options.MaxMessageBytes) }
 	content := &msg.exchange.Content
+	switch {
+	case m.isRecoveryReply(msg) && content.Level == 0:
+		m.recoverTopRanges(from, msg)
+		return
+	case m.isRecoveryReply(msg) && content.Level == 1:
+		m.recoverRanges(from, msg)
+		return
+	}
+	budget := m.budgetFor(from, msg.verb)
+	hasBudget := func() bool { return budget.Allows(m.options.MaxMessageBytes) }
 	m.records.tree.Descend(content.Range, content.Sums, m.rng, hasBudget, func(child antientropy.RangeContent) {
 		m.sendContent(from, child, 0)
 	})
@@ -112,10 +124,11 @@
 			encoded = append(encoded, m.copyOf(r).append(nil))
 		}
 	}
+	budget := m.budgetFor(to, verbRecords)
 	header := (&message{verb: verbRecords, canVote: m.CanVote(), senderID: m.options.ProcessID}).append(nil)
 	for _, body := range antientropy.Pack(encoded, m.options.MaxMessageBytes-maxRecordsHeaderBytes) {
-		if m.budget.Allows(len(body)) {
-			m.sendBytes(to, slices.Concat(header, body))
+		if budget.Allows(len(body)) {
+			m.sendBytes(to, slices.Concat(header, body), budget)
 		}
 	}
 }
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -27,6 +27,7 @@
 	recovery   recovery
 
 	budget        antientropy.SendBudget
+	catchUpBudget antientropy.SendBudget // for comparisons if this member, or the other one, catches up
 	nextCompareMS float64
 	persistToken  uint64
 	onPersisted   map[uint64]func() // by token
@@ -34,8 +35,8 @@
 	Counters      Counters
 }
 
-// bytesPerSecond is the limit on the average rate of sent bytes. Messages that must
-// not wait may exceed it.
+// bytesPerSecond is the limit on the average rate of sent bytes, apart from those of
+// catch-ups. Messages that must not wait may exceed it.
 const bytesPerSecond = 32_768.0
 
 // rngStream separates the random numbers of this package from those of other packages
@@ -46,13 +47,14 @@
 // on the options, the seed and the events.
 func New(o Options, seed uint64) *Manager {
 	m := &Manager{
-		options:     o.withDefaults(),
-		rng:         rand.New(rand.NewPCG(seed, rngStream)),
-		nextTimerMS: math.Inf(1),
-		members:     newMembers(),
-		records:     newRecordTable(),
-		budget:      antientropy.NewSendBudget(bytesPerSecond),
-		onPersisted: map[uint64]func(){},
+		options:       o.withDefaults(),
+		rng:           rand.New(rand.NewPCG(seed, rngStream)),
+		nextTimerMS:   math.Inf(1),
+		members:       newMembers(),
+		records:       newRecordTable(),
+		budget:        antientropy.NewSendBudget(bytesPerSecond),
+		catchUpBudget: antientropy.NewSendBudgetWithBurst(catchUpBytesPerSecond, catchUpBurstBytes),
+		onPersisted:   map[uint64]func(){},
 	}
 	m.recovery = newRecovery(m.rng.Uint32() | 1)
 	return m
@@ -69,6 +71,7 @@
 	}
 	m.nowMS = max(nowMS, m.nowMS)
 	m.budget.Refill(m.nowMS)
+	m.catchUpBudget.Refill(m.nowMS)
 	m.handle(ev)
 	if m.started {
 		m.runDueActions()
@@ -106,6 +109,12 @@
 // digests.
 func (m *Manager) Digest() uint64 { return m.records.tree.Digest() }
 
+// RecordCount returns the number of records.
+func (m *Manager) RecordCount() int { return len(m.records.byKey) }
+
+// UptimeMS returns the time from the start of this process to the last event.
+func (m *Manager) UptimeMS() float64 { return m.nowMS - m.recovery.startedAtMS }
+
 // CountByState returns the number of records in each State.
 func (m *Manager) CountByState() (counts [Ended + 1]int) {
 	for _, r := range m.records.byKey {
--- a/internal/lease/messages.go
+++ b/internal/lease/messages.go
@@ -1,5 +1,7 @@
 package lease
 
+import "dewhill/internal/antientropy"
+
 // receive processes a message from another front end.
 func (m *Manager) receive(ev MessageReceived) {
 	m.Counters.MessagesReceived++
@@ -49,12 +51,24 @@
 func (m *Manager) send(to Peer, msg *message) {
 	msg.canVote = m.CanVote()
 	msg.senderID = m.options.ProcessID
-	m.sendBytes(to, msg.append(nil))
+	m.sendBytes(to, msg.append(nil), m.budgetFor(to, msg.verb))
 }
 
-func (m *Manager) sendBytes(to Peer, encoded []byte) {
-	m.budget.Spend(len(encoded))
+func (m *Manager) sendBytes(to Peer, encoded []byte, budget *antientropy.SendBudget) {
+	budget.Spend(len(encoded))
 	m.Counters.MessagesSent++
 	m.Counters.BytesSent += len(encoded)
 	m.effects.Sends = append(m.effects.Sends, Send{To: to, Message: encoded})
 }
+
+// budgetFor returns the budget for messages with a verb to a member. The comparisons of
+// a catch-up have a budget of their own, so that neither they nor the messages of normal
+// operation have to wait for the others.
+func (m *Manager) budgetFor(to Peer, v verb) *antientropy.SendBudget {
+	status, isKnown := m.members.peerStatuses[to]
+	isCatchUp := !m.CanVote() || isKnown && !status.canVote
+	if v.isComparison() && isCatchUp {
+		return &m.catchUpBudget
+	}
+	return &m.budget
+}
--- a/internal/lease/wire.go
+++ b/internal/lease/wire.go
@@ -33,6 +33,9 @@
 // hasBallot reports whether messages with the verb belong to a round.
 func (v verb) hasBallot() bool { return v <= verbAccepted }
 
+// isComparison reports whether messages with the verb compare copies or repair them.
+func (v verb) isComparison() bool { return v >= verbProbe }
+
 // message is the content of one datagram. In protobuf terms:
 //
 //	message Message {
