lease: after a majority lost its state, voters that still run are copied first

Cause, second of three: when the next front end was restarted before the last one had caught up, the two were a majority without state. Both voted at once with what they had, although the third front end had all records and answered; then that one was restarted, too. In the script's record the vote "without a quorum" comes in the same 2 ms as the first message of the next new process.

Change: such a vote also waits until the member has matched the copy of every voter that runs (heard of within 3 s). Without such voters, as at the first start of a fleet, it votes as before.

Its mutant without the guard is caught.

--- a/internal/lease/mutants_test.go
+++ b/internal/lease/mutants_test.go
@@ -31,6 +31,14 @@
 		Old:  "m.recovery.canVote = hasVoterMark",
 		New:  "m.recovery.canVote = hasVoterMark || true",
 	}
+	// voteBesideRunningVoters lets members vote after a majority has lost its state, although
+	// they have not copied the records of a voter that runs.
+	voteBesideRunningVoters = mutanttest.Mutant{
+		Name: "vote beside running voters",
+		File: "internal/lease/recovery.go",
+		Old:  "case m.membersWithoutState() >= needed && m.caughtUpWithRunningVoters():",
+		New:  "case m.membersWithoutState() >= needed && (true || m.caughtUpWithRunningVoters()):",
+	}
 )
 
 // TestMutantsAreCaught checks that the tests of this package fail on a manager
@@ -41,5 +49,6 @@
 		{Mutant: singleVoteMajority, Test: "TestLeasesAreLinearizable"},
 		{Mutant: ownerMayLoseLease, Test: "TestSafetyOfThreeFrontEnds"},
 		{Mutant: voteWithoutState, Test: "TestNoVoteWithoutState"},
+		{Mutant: voteBesideRunningVoters, Test: "TestRunningVotersAreCopied"},
 	}, "-failfast")
 }
--- a/internal/lease/recovery.go
+++ b/internal/lease/recovery.go
@@ -147,7 +147,8 @@
 }
 
 // finishRecoveryIfCaughtUp allows this member to vote once it has caught up with enough
-// voters, or if a majority of the members, including this one, has lost its state.
+// voters. If a majority of the members, including this one, has lost its state, there are
+// not enough of them: then it must have caught up with all voters that are running.
 func (m *Manager) finishRecoveryIfCaughtUp() {
 	if m.inRecoveryDelay() {
 		return
@@ -161,7 +162,7 @@
 	needed := majority(m.members.clusterSize)
 	switch {
 	case caughtUpWith >= m.members.clusterSize-needed+1:
-	case m.membersWithoutState() >= needed:
+	case m.membersWithoutState() >= needed && m.caughtUpWithRunningVoters():
 		m.Counters.RecoveriesWithoutQuorum++
 	default:
 		return
@@ -182,6 +183,10 @@
 	return count
 }
 
+func (m *Manager) caughtUpWithRunningVoters() bool {
+	return !slices.ContainsFunc(m.runningVoters(), func(peer Peer) bool { return !m.recovery.hasMatched(peer) })
+}
+
 // stepRecovery probes the next members whose copy was not equal in all ranges so far.
 // These include members that cannot vote either: the probe reports to them that this
 // member cannot vote.
--- a/internal/lease/recovery_test.go
+++ b/internal/lease/recovery_test.go
@@ -163,3 +163,50 @@
 		})
 	}
 }
+
+// TestRunningVotersAreCopied guards against loads that run twice after a second front end
+// was restarted, because the two voted with the part of the records that they had copied
+// by then, although a third front end with all records was running.
+func TestRunningVotersAreCopied(t *testing.T) {
+	const (
+		loads        = 1000
+		repeatFromMS = 6000.0
+		copyFromMS   = 9000.0 // until then, no record reaches the restarted front ends
+	)
+	for _, fronts := range []int{3, 5} {
+		t.Run(fmt.Sprintf("%d front ends", fronts), func(t *testing.T) {
+			f := newFleet(12, fronts, false, Options{})
+			f.Run(10_000)
+			f.addCompletedLoads(loads)
+			startedAtMS := f.NowMS
+			f.intercept = func(_, _ int, msg []byte) bool {
+				decoded, _ := decode(msg)
+				return decoded.verb == verbRecords && f.NowMS < startedAtMS+copyFromMS
+			}
+			last := fronts - 1
+			for i := range last {
+				f.kill(i)
+				f.start(i)
+			}
+			f.Run(repeatFromMS)
+			granted := 0
+			for n := range loads {
+				f.requestLoad(n%last, n, func(kind DecisionKind) {
+					if kind == Granted {
+						granted++
+					}
+				})
+			}
+			f.Run(copyFromMS)
+			if granted > 0 {
+				t.Errorf("%d of %d loads run again", granted, loads)
+			}
+			for i, m := range f.managers {
+				if !m.CanVote() {
+					t.Errorf("front end %d does not vote", i)
+				}
+			}
+			f.checkKnown(t, numbersTo(loads))
+		})
+	}
+}
