server: ready means that the vote on loads counts, so the next front end may restart

Requests are taken as before, and /-/healthy does not wait: while too few others vote, a front end serves but says that no other one may be restarted.

--- a/internal/cluster/leases.go
+++ b/internal/cluster/leases.go
@@ -86,6 +86,10 @@
 	c.leases.apply(lease.Released{Key: k, Result: result, Outcome: outcome})
 }
 
+// VotesOnLeases reports whether this front end votes on leases: it has all earlier votes of
+// its own, or has caught up with the voters. It returns true if replication is off.
+func (c *Cluster) VotesOnLeases() bool { return c.leases == nil || c.leases.manager.CanVote() }
+
 // PendingLeases returns the number of lease requests without a decision plus the number of
 // granted leases that have not been released.
 func (c *Cluster) PendingLeases() int {
--- a/internal/faulttest/fleet.go
+++ b/internal/faulttest/fleet.go
@@ -109,7 +109,7 @@
 		f.StartProcess(front)
 	}
 	for _, front := range f.Fronts {
-		testprocess.Until(t, front.Name+" to be ready", front.isReady)
+		testprocess.Until(t, front.Name+" to be ready", front.IsReady)
 	}
 	return f
 }
@@ -242,8 +242,9 @@
 	return fe.process.Log()
 }
 
-// isReady reports whether the front end accepts requests.
-func (fe *FrontEnd) isReady() bool {
+// IsReady reports whether the front end says that it is ready: it accepts requests, and
+// another front end may be restarted.
+func (fe *FrontEnd) IsReady() bool {
 	status, _ := Call(fe.ControlAddr, "GET", "ready")
 	return status == 200
 }
--- a/internal/faulttest/overrides_test.go
+++ b/internal/faulttest/overrides_test.go
@@ -324,8 +324,8 @@
 	if state := f.requireReplicated(t, *convergenceLimit); !state.isOutOfService("s-01") || state.isOutOfService("s-00") {
 		t.Errorf("after all front ends were killed: %+v", state)
 	}
-	testprocess.Until(t, f.Fronts[0].Name+" to be ready", f.Fronts[0].isReady)
-	if outOfService.isReady() {
+	testprocess.Until(t, f.Fronts[0].Name+" to be ready", f.Fronts[0].IsReady)
+	if outOfService.IsReady() {
 		t.Error("a front end that was taken out of service is ready after its restart")
 	}
 }
--- a/internal/mysql/fleet_test.go
+++ b/internal/mysql/fleet_test.go
@@ -80,6 +80,7 @@
 	errorRate float64
 	mutant    *mutanttest.Mutant
 	faults    faultplan.Timeline
+	noDisks   bool // front ends have no state directories
 }
 
 // loadFleet is a fleet with the MySQL front end enabled, to which clients send loads
@@ -135,7 +136,7 @@
 		Size:          options.size,
 		Engines:       1,
 		Mutant:        options.mutant,
-		Durable:       true,
+		Durable:       !options.noDisks,
 		ClusterConfig: loadFleetCluster,
 		Args:          func(i int) []string { return []string{"-mysql", paths[i]} },
 	})
@@ -182,16 +183,28 @@
 	}
 }
 
+// reportedLeases is what a front end reports about leases.
+type reportedLeases struct {
+	Votes bool
+	Ended int // loads with a known outcome
+}
+
+// leaseState returns what a front end reports about leases, if it answers.
+func leaseState(front *faulttest.FrontEnd) (leases reportedLeases, ok bool) {
+	var state struct{ Loads reportedLeases }
+	status, body := faulttest.Call(front.ControlAddr, "GET", "state")
+	if status != 200 || json.Unmarshal(body, &state) != nil {
+		return leases, false
+	}
+	return state.Loads, true
+}
+
 // allVote reports whether all front ends vote on leases.
 func (f *loadFleet) allVote() bool {
-	for _, front := range f.Fronts {
-		var state struct{ Loads struct{ Votes bool } }
-		status, body := faulttest.Call(front.ControlAddr, "GET", "state")
-		if status != 200 || json.Unmarshal(body, &state) != nil || !state.Loads.Votes {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(f.Fronts, func(front *faulttest.FrontEnd) bool {
+		state, ok := leaseState(front)
+		return !ok || !state.Votes
+	})
 }
 
 func (f *loadFleet) openDatabases(addrs []string) {
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -147,10 +147,19 @@
 	return a.frontEnd.cluster == nil || a.frontEnd.cluster.CaughtUp()
 }
 
-// Ready reports whether this process accepts clients.
+// votesOnLeases reports whether this front end has the records of the loads that the
+// fleet has run. Until then another front end that restarts takes a vote from the fleet.
+func (a *adminController) votesOnLeases() bool {
+	return a.frontEnd.cluster == nil || a.frontEnd.cluster.VotesOnLeases()
+}
+
+// Ready reports whether this process accepts clients and another front end may be
+// restarted.
 func (a *adminController) Ready() bool {
 	ready := false
-	a.frontEnd.loop.runAndWait(func() { ready = a.acceptsClients() && !a.frontEnd.shuttingDown })
+	a.frontEnd.loop.runAndWait(func() {
+		ready = a.acceptsClients() && a.votesOnLeases() && !a.frontEnd.shuttingDown
+	})
 	return ready
 }
 
