mysql: statements that arrive after SIGTERM are answered until the listener closes

Cause: BeginShutdown, called at SIGTERM, told every connection to end after its current command, and at once if there was none, while the listener accepted for 0.7 s more. A client that logged in then was not served one command; what it sent was read and dropped. Open connections ended the same way.

Change: shutdown has the steps of the platform's front. Until the listener is closed all connections are served. Then connections without an open command are closed: at once, or after 250 ms if a command is expected (after the login, or after a prepare), or 500 ms within a login; what has begun to arrive, or was sent ahead, is read and answered. After the shutdown deadline statements are rejected.

TestShutdownKeepsUnreadCommands calls StopAccepting, too, as idle connections are closed there now; its checks are the same.

--- a/internal/mysql/client.go
+++ b/internal/mysql/client.go
@@ -13,6 +13,8 @@
 	connectionID  uint32
 	connectedAtMS float64
 	loggedIn      atomic.Bool
+	receiving     atomic.Bool // a command has begun to arrive and has not been answered
+	expected      atomic.Bool // the next command is expected soon: after the login, or to execute what was prepared
 
 	// Used only by the connection's goroutine.
 	user            string
@@ -22,6 +24,7 @@
 	ranStatement    bool   // the current command was passed to the event loop
 	overflowed      bool   // the client sent more ahead than is buffered: the current response is the last
 	discardBuffer   []byte // receives input beyond the limit of the buffer
+	closedIdle      bool   // the connection is closed because no command has arrived
 
 	// Used only on the event loop.
 	busy         bool // a statement has not been answered yet
@@ -32,11 +35,8 @@
 
 // serve serves the connection until it is closed.
 func (c *client) serve(tooMany bool) {
-	defer func() {
-		c.stream.closeGracefully()
-		c.server.loop.Post(func() { delete(c.server.clients, c) })
-	}()
-	_ = c.stream.conn.SetDeadline(time.Now().Add(loginTimeout))
+	defer c.end()
+	c.setLoginDeadline()
 	if tooMany {
 		c.sendFinalError(&Error{codeTooManyConnections, "08004", "Too many connections"})
 		return
@@ -45,15 +45,28 @@
 		return
 	}
 	_ = c.stream.conn.SetDeadline(time.Time{})
-	_ = c.stream.conn.SetReadDeadline(time.Now().Add(clientIdleTimeout))
-	for !c.server.shuttingDown.Load() {
-		if !c.serveCommand() {
+	for c.awaitCommand() {
+		stays := c.serveCommand()
+		c.receiving.Store(false)
+		if !stays {
 			return
 		}
-		_ = c.stream.conn.SetReadDeadline(time.Now().Add(clientIdleTimeout))
 	}
 }
 
+// end closes the connection. The process need not wait for a connection that is closed
+// because its client has sent nothing: no response is on its way.
+func (c *client) end() {
+	remove := func() { delete(c.server.clients, c) }
+	if c.closedIdle {
+		c.server.loop.Post(remove)
+		c.stream.closeGracefully()
+		return
+	}
+	c.stream.closeGracefully()
+	c.server.loop.Post(remove)
+}
+
 // sendFinalError sends an error after which the connection is closed.
 func (c *client) sendFinalError(e *Error) {
 	c.writeError(e)
@@ -74,6 +87,7 @@
 	c.user = login.user
 	c.database = login.database
 	c.loggedIn.Store(true)
+	c.expected.Store(true)
 	return true
 }
 
@@ -81,19 +95,24 @@
 // stays open.
 func (c *client) serveCommand() bool {
 	c.stream.sequence = 0
-	payload, err := c.stream.readPacket()
+	payload, err := c.readCommand()
 	var malformed *Error
 	if errors.As(err, &malformed) {
 		c.updateCounters(func(counters *ServerCounters) { counters.Malformed++ })
 		c.sendFinalError(malformed)
 	}
-	if err != nil || len(payload) == 0 || !c.handleCommand(payload[0], payload[1:]) {
+	if err != nil || len(payload) == 0 {
+		return false
+	}
+	command := payload[0] // the payload is valid until the client's next input is read
+	if !c.handleCommand(command, payload[1:]) {
 		return false
 	}
 	_ = c.stream.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if err := c.stream.flush(); err != nil {
 		return false
 	}
+	c.expected.Store(command == comStmtPrepare || command == comStmtLongData)
 	if c.ranStatement {
 		c.ranStatement = false
 		c.server.loop.Post(func() { c.busy = false })
--- a/internal/mysql/fleet_test.go
+++ b/internal/mysql/fleet_test.go
@@ -90,6 +90,7 @@
 	t         *testing.T
 	options   loadFleetOptions
 	engines   []*mysql.FakeEngine
+	addrs     []string  // of the MySQL front ends
 	databases []*sql.DB // one for each front end
 	answers   []loadAnswer
 }
@@ -130,7 +131,7 @@
 		addrs = append(addrs, cfg.Listen)
 		paths = append(paths, writeConfig(t, &cfg))
 	}
-	f := &loadFleet{t: t, options: options, engines: engines, answers: make([]loadAnswer, options.loads)}
+	f := &loadFleet{t: t, options: options, engines: engines, addrs: addrs, answers: make([]loadAnswer, options.loads)}
 	f.Fleet = faulttest.Start(t, faulttest.Options{
 		Seed:          options.seed,
 		Size:          options.size,
--- a/internal/mysql/packet_test.go
+++ b/internal/mysql/packet_test.go
@@ -191,10 +191,12 @@
 			testprocess.Until(t, "the command", func() bool { return lineproto.HasUnread(serverConn) })
 		}
 		c := &client{server: server, stream: newStream(serverConn)}
+		c.loggedIn.Store(true)
 		server.clients[c] = true
 		clients = append(clients, c)
 	}
 	server.BeginShutdown()
+	server.StopAccepting()
 	if p, err := clients[0].stream.readPacket(); err != nil || p[0] != comPing {
 		t.Errorf("command that arrived before the shutdown: got %v, %v", p, err)
 	}
--- a/internal/mysql/race_test.go
+++ b/internal/mysql/race_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"net"
 	"testing"
 
@@ -18,18 +19,68 @@
 // NewRawClient connects to a server and logs in.
 func NewRawClient(t *testing.T, addr, user, password string) *RawClient {
 	t.Helper()
-	conn, err := net.Dial("tcp", addr)
+	c, err := DialRaw(addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = conn.Close() })
-	c := &RawClient{conn.(*net.TCPConn), newStream(conn)}
-	if _, err := logIn(c.stream, user, password, ""); err != nil {
+	t.Cleanup(func() { _ = c.Close() })
+	if err := c.LogIn(user, password); err != nil {
 		t.Fatal(err)
 	}
 	return c
 }
 
+// DialRaw connects to a server. The client is not logged in.
+func DialRaw(addr string) (*RawClient, error) {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &RawClient{conn.(*net.TCPConn), newStream(conn)}, nil
+}
+
+// LogIn reads the greeting and logs in.
+func (c *RawClient) LogIn(user, password string) error {
+	_, err := logIn(c.stream, user, password, "")
+	return err
+}
+
+// AwaitGreeting waits until the greeting has arrived, which LogIn then reads.
+func (c *RawClient) AwaitGreeting() error { return c.stream.buffer.FillTo(headerBytes) }
+
+// PrepareAndExecute prepares a statement without parameters and executes it. The response
+// to the prepared statement must be an OK packet.
+func (c *RawClient) PrepareAndExecute(sql string) error {
+	if err := c.stream.sendCommand(comStmtPrepare, []byte(sql)); err != nil {
+		return err
+	}
+	response, err := c.stream.readPacket()
+	if err != nil {
+		return err
+	}
+	if len(response) <= handleBytes || response[0] != okMark {
+		return fmt.Errorf("response to prepare: %q", response)
+	}
+	handle := binary.LittleEndian.Uint32(response[1:])
+	if err := c.stream.sendCommand(comStmtExecute, encodeExecute(handle, nil)); err != nil {
+		return err
+	}
+	return c.ReadResponse()
+}
+
+// ReadResponse reads the response to a command, which must be an OK packet.
+func (c *RawClient) ReadResponse() error {
+	c.stream.sequence = 1 // commands that were sent ahead have reset it
+	response, err := c.stream.readPacket()
+	if err != nil {
+		return err
+	}
+	if len(response) == 0 || response[0] != okMark {
+		return fmt.Errorf("response %q", response)
+	}
+	return nil
+}
+
 // Send sends a statement without waiting for the response.
 func (c *RawClient) Send(sql string) error { return c.stream.sendCommand(comQuery, []byte(sql)) }
 
@@ -43,8 +94,7 @@
 
 // ReadOK reads a response and reports whether it is an OK packet.
 func (c *RawClient) ReadOK() bool {
-	p, err := c.stream.readPacket()
-	return err == nil && len(p) > 0 && p[0] == okMark
+	return c.ReadResponse() == nil
 }
 
 // TestResultDuringInterrupt checks that a result that arrives while its session is
--- a/internal/mysql/server.go
+++ b/internal/mysql/server.go
@@ -7,7 +7,6 @@
 
 	"dewhill/internal/acceptloop"
 	"dewhill/internal/dispatch"
-	"dewhill/internal/lineproto"
 )
 
 // EventLoop is the event loop of the server and the pool. Post, PostUrgent and Now may
@@ -63,7 +62,9 @@
 	releasedOrder    []string               // keys of released, oldest first
 	lastConnectionID uint32
 	lastRequestID    uint64
-	shuttingDown     atomic.Bool
+
+	notAccepting           atomic.Bool // the listener is closed: the process ends
+	shutdownDeadlinePassed bool        // all open statements were answered: the process is about to be killed
 }
 
 // NewServer returns a server.
@@ -128,25 +129,3 @@
 	_ = oldest.stream.conn.Close()
 	return true
 }
-
-// BeginShutdown closes the connections of idle clients; other connections are closed
-// after their response. A client whose command has arrived but has not been read yet is
-// not idle.
-func (s *Server) BeginShutdown() {
-	s.shuttingDown.Store(true)
-	for c := range s.clients {
-		if !c.busy && !lineproto.HasUnread(c.stream.conn) {
-			_ = c.stream.conn.SetReadDeadline(time.Now())
-		}
-	}
-}
-
-// Idle reports whether no client waits for the response to a statement.
-func (s *Server) Idle() bool {
-	for c := range s.clients {
-		if c.busy {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/mysql/stream.go
+++ b/internal/mysql/stream.go
@@ -43,7 +43,8 @@
 }
 
 // readPacket returns the payload of the next packet. The payload is valid until the
-// next call. If a packet is longer than the limit, the error is an *Error.
+// next call. If a packet is longer than the limit, the error is an *Error. After a read
+// deadline the call can be repeated: what has been read of the packet stays buffered.
 func (s *stream) readPacket() ([]byte, error) {
 	if err := s.buffer.FillTo(headerBytes); err != nil {
 		return nil, err
@@ -57,7 +58,6 @@
 	if header[3] != s.sequence {
 		return nil, fmt.Errorf("%w: sequence number %d, want %d", errProtocol, header[3], s.sequence)
 	}
-	s.sequence++
 	err := s.buffer.FillTo(headerBytes + length)
 	if errors.Is(err, io.EOF) {
 		return nil, io.ErrUnexpectedEOF
@@ -65,6 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.sequence++
 	packet := s.buffer.Next(headerBytes + length)
 	return packet[headerBytes:], nil
 }
--- a/internal/mysql/submit.go
+++ b/internal/mysql/submit.go
@@ -26,6 +26,11 @@
 	if c.disconnected {
 		return // PostUrgent runs handleDisconnect ahead of the client's last statement
 	}
+	if s.shutdownDeadlinePassed {
+		s.Counters.Rejected++
+		done(outcome{err: s.rejection()})
+		return
+	}
 	options, invalid := s.classify(info, c.user, statement)
 	if invalid != nil {
 		done(outcome{err: invalid})
--- a/internal/server/frontend.go
+++ b/internal/server/frontend.go
@@ -29,6 +29,7 @@
 	counters     platformCounters
 
 	shuttingDown        bool
+	leaseUsers          int    // front ends of this process that may request leases
 	discoveryStarted    bool   // requests are sent to engines
 	discoveryAddress    string // the address that is watched; empty: none
 	stopWatch           context.CancelFunc
@@ -176,6 +177,12 @@
 
 func (f *platformFrontEnd) stopAccepting() { f.httpServer.StopAccepting() }
 
+func (f *platformFrontEnd) reachShutdownDeadline() {}
+
+// idle reports whether no client waits for a response and no lease is pending or may still
+// be requested.
 func (f *platformFrontEnd) idle() bool {
-	return f.httpServer.Idle() && (f.cluster == nil || f.cluster.PendingLeases() == 0)
+	return f.httpServer.Idle() && f.leaseUsers == 0 && (f.cluster == nil || f.cluster.PendingLeases() == 0)
 }
+
+func (f *platformFrontEnd) stopped() {}
--- a/internal/server/leasecoordinator.go
+++ b/internal/server/leasecoordinator.go
@@ -27,7 +27,7 @@
 // Acquire requests the lease of a load from the cluster. timeoutMS limits the time for the
 // decision. retried means that the client has sent the load before. decided is called
 // once, on the MySQL front end's loop.
-func (c leaseCoordinator) Acquire(
+func (c *leaseCoordinator) Acquire(
 	load, statement string, timeoutMS float64, retried bool, decided func(lease.Decision),
 ) {
 	statementHash := fnv.New64a()
@@ -41,6 +41,12 @@
 }
 
 // Release reports to the cluster how a load ended, with its OK packet.
-func (c leaseCoordinator) Release(load string, result lease.RunResult, okPacket []byte) {
+func (c *leaseCoordinator) Release(load string, result lease.RunResult, okPacket []byte) {
 	go c.platform.loop.Post(func() { c.platform.cluster.ReleaseLease(leaseKey(load), result, okPacket) })
 }
+
+// close notifies the platform front end that no lease is requested any more. Until then,
+// the platform front end does not end.
+func (c *leaseCoordinator) close() {
+	c.platform.loop.Post(func() { c.platform.leaseUsers-- })
+}
--- a/internal/server/mysqlfrontend.go
+++ b/internal/server/mysqlfrontend.go
@@ -37,6 +37,7 @@
 	loop   *EventLoop
 	pool   *mysql.Pool
 	server *mysql.Server
+	leases *leaseCoordinator // nil: loads need no leases
 }
 
 // newMySQLFrontEnd creates a front end and its service. platform is the platform front end
@@ -57,7 +58,9 @@
 	f.loop.backend = f.pool
 	f.loop.countersReport = f.report
 	if platform != nil && platform.replicatesState() {
-		f.server.Leases = leaseCoordinator{platform: platform, mysqlLoop: f.loop}
+		f.leases = &leaseCoordinator{platform: platform, mysqlLoop: f.loop}
+		f.server.Leases = f.leases
+		platform.leaseUsers++
 	}
 	f.applyEngines(cfg.Engines)
 	deadlineMS := 0.0
@@ -135,6 +138,14 @@
 
 func (f *mySQLFrontEnd) beginShutdown(bool) { f.server.BeginShutdown() }
 
-func (f *mySQLFrontEnd) stopAccepting() {}
+func (f *mySQLFrontEnd) stopAccepting() { f.server.StopAccepting() }
+
+func (f *mySQLFrontEnd) reachShutdownDeadline() { f.server.ReachShutdownDeadline() }
 
 func (f *mySQLFrontEnd) idle() bool { return f.server.Idle() }
+
+func (f *mySQLFrontEnd) stopped() {
+	if f.leases != nil {
+		f.leases.close()
+	}
+}
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -30,6 +30,11 @@
 	beginShutdown(replaced bool)
 	// stopAccepting is called when no connection is accepted any more.
 	stopAccepting()
+	// reachShutdownDeadline is called after all open requests were answered because the
+	// platform is about to kill the process.
+	reachShutdownDeadline()
+	// stopped is called once the loop has ended, on a goroutine of the service.
+	stopped()
 	// idle reports whether no client waits for a response, and no lease is pending.
 	idle() bool
 }
@@ -70,6 +75,7 @@
 	s.frontEnd.started()
 	s.loop.run(s.shutdownComplete)
 	go s.discardEvents()
+	s.frontEnd.stopped()
 	time.Sleep(lastWriteDelay)
 	s.logCounters()
 }
--- a/internal/server/shutdown.go
+++ b/internal/server/shutdown.go
@@ -77,4 +77,5 @@
 func (s *service) answerOpenRequests() {
 	s.loop.Logf("shutdown deadline: answering %d open requests now", s.loop.OpenRequests())
 	s.loop.apply(dispatch.ShutdownDeadline{})
+	s.frontEnd.reachShutdownDeadline()
 }
