mysql: a refused repeat of a load that is not remembered is not run when sent again

Cause: submit compared with the limit before it looked at the id, and entered every refused load with an unknown id in the list of loads whose last run had no effect, for which a marked repeat may run. The refusal of this try proves nothing of earlier ones, before a restart or before the id was evicted.

Change: the limit comes after the id. A known load's repeat gets its outcome or waits for it (it takes no place); a marked repeat of an unknown one gets 1233; what is left is a first try, and only its refusal is entered. With leases the refusal says "this try ran nothing", as another front end may have run the load.

Evidence: TestRefusalProvesNothingOfEarlierTries (evicted and never known ids, text and prepared): on the commit before, the evicted load ran 2 times and the unknown one once, in both. TestKnownLoadIsNotRefused: before, 1226 "nothing ran" for a load that ran.

--- a/internal/mysql/leases.go
+++ b/internal/mysql/leases.go
@@ -35,7 +35,7 @@
 	s.loop.After(t.deadlineMS+leaseDecisionAllowanceMS, func() {
 		if !decided {
 			decided = true
-			done(outcome{err: s.rejection()})
+			done(outcome{err: s.rejectionOfTry()})
 		}
 	})
 	s.Leases.Acquire(name, fingerprint, t.deadlineMS, t.isRetry, func(decision lease.Decision) {
@@ -109,6 +109,6 @@
 		return outcome{err: unknownLoad()}
 	default:
 		s.Counters.Rejected++
-		return outcome{err: s.rejection()}
+		return outcome{err: s.rejectionOfTry()}
 	}
 }
--- a/internal/mysql/loads.go
+++ b/internal/mysql/loads.go
@@ -96,6 +96,10 @@
 		done(outcome{err: unknownLoad()})
 		return
 	}
+	if !s.hasCapacity() {
+		s.rejectLoad(name, done)
+		return
+	}
 	load := s.addLoad(c, name, fingerprint)
 	finish := func(o outcome) { s.finishLoad(name, load, o, done) }
 	if s.Leases == nil {
@@ -112,6 +116,19 @@
 	})
 }
 
+// rejectLoad rejects a try of a load that the server does not know, unless it knows that an
+// earlier try had no effect. Without leases it is no marked retry of an unknown load: so a
+// retry of it may run.
+func (s *Server) rejectLoad(name string, done func(outcome)) {
+	s.Counters.Rejected++
+	if s.Leases != nil {
+		done(outcome{err: s.rejectionOfTry()})
+		return
+	}
+	s.rememberReleased(name)
+	done(outcome{err: s.rejection()})
+}
+
 // loadName returns the name of a load with an id: ids of different accounts differ.
 func loadName(c *client, t requestOptions) string { return c.user + "\x00" + t.loadID }
 
@@ -169,7 +186,9 @@
 	load.outcome = o.retained()
 	if o.loadResult() == loadHadNoEffect {
 		s.removeLoad(name)
-		s.rememberReleased(name)
+		if s.Leases == nil { // with leases, only the fleet knows what a retry may do
+			s.rememberReleased(name)
+		}
 	}
 	done(o)
 	for _, waiter := range load.waiters {
--- a/internal/mysql/submit.go
+++ b/internal/mysql/submit.go
@@ -26,30 +26,27 @@
 	if c.disconnected {
 		return // PostUrgent runs handleDisconnect ahead of the client's last statement
 	}
-	if s.shutdownDeadlinePassed {
-		s.Counters.Rejected++
-		done(outcome{err: s.rejection()})
-		return
-	}
 	options, invalid := s.classify(info, c.user, statement)
 	if invalid != nil {
 		done(outcome{err: invalid})
 		return
 	}
-	if s.loop.OpenRequests() >= s.config.Limits.MaxOpenRequests {
-		s.Counters.Rejected++
-		if options.loadID != "" && s.loads[loadName(c, options)] == nil {
-			s.rememberReleased(loadName(c, options))
-		}
-		done(outcome{err: s.rejection()})
+	if options.loadID != "" && s.class(options).Idempotency != idempotent {
+		s.submitLoad(c, statement, info, options, done)
 		return
 	}
-	if options.loadID == "" || s.class(options).Idempotency == idempotent {
-		options.loadID = ""
-		s.start(c, statement, info, options, done)
+	options.loadID = ""
+	if !s.hasCapacity() {
+		s.Counters.Rejected++
+		done(outcome{err: s.rejection()})
 		return
 	}
-	s.submitLoad(c, statement, info, options, done)
+	s.start(c, statement, info, options, done)
+}
+
+// hasCapacity reports whether the server accepts another request.
+func (s *Server) hasCapacity() bool {
+	return !s.shutdownDeadlinePassed && s.loop.OpenRequests() < s.config.Limits.MaxOpenRequests
 }
 
 // start submits a statement to the event loop as a request.
@@ -126,10 +123,26 @@
 	return &Error{codeMayHaveRun, "08007", "failed, and it may have run: do not simply repeat it"}
 }
 
+// The texts of a rejection: what is known of the statement.
+const (
+	nothingRan    = "nothing ran"
+	tryRanNothing = "this try ran nothing" // another front end may have run the load
+)
+
 // rejection returns the error for a statement that the server itself rejects.
-func (s *Server) rejection() *Error { return rejectionAfter(s.config.Settings.Limits.MaxRetryAfterMS) }
+func (s *Server) rejection() *Error {
+	return newRejection(nothingRan, s.config.Settings.Limits.MaxRetryAfterMS)
+}
+
+// rejectionOfTry returns the error for a try of a load that the server itself rejects, if
+// other front ends may have run the load.
+func (s *Server) rejectionOfTry() *Error {
+	return newRejection(tryRanNothing, s.config.Settings.Limits.MaxRetryAfterMS)
+}
+
+func rejectionAfter(retryAfterMS float64) *Error { return newRejection(nothingRan, retryAfterMS) }
 
-func rejectionAfter(retryAfterMS float64) *Error {
-	message := fmt.Sprintf("refused, nothing ran: try again in %.0f ms", math.Ceil(retryAfterMS))
+func newRejection(known string, retryAfterMS float64) *Error {
+	message := fmt.Sprintf("refused, %s: try again in %.0f ms", known, math.Ceil(retryAfterMS))
 	return &Error{codeRejected, "53300", message}
 }
