lease: outcomes are announced at once under load, and a shutdown waits for them

Cause: outcomes are announced from what the rounds leave of 32,768 bytes a second, and rounds don't wait: from some 150 loads a second on nothing was left. The front end that ran a load then ended with the only copy of its outcome.

Change: the first announcement of an outcome does not wait for the budget (its number is bounded by the loads), repeats of it do. A shutdown waits until a quorum has each outcome, at most 1 s after it was announced.

--- a/internal/cluster/leases.go
+++ b/internal/cluster/leases.go
@@ -90,11 +90,11 @@
 // its own, or has caught up with the voters. It returns true if replication is off.
 func (c *Cluster) VotesOnLeases() bool { return c.leases == nil || c.leases.manager.CanVote() }
 
-// PendingLeases returns the number of lease requests without a decision plus the number of
-// granted leases that have not been released.
+// PendingLeases returns the number of lease requests without a decision, of granted leases
+// that have not been released, and of outcomes that the fleet does not have yet.
 func (c *Cluster) PendingLeases() int {
 	if c.leases == nil {
 		return 0
 	}
-	return len(c.leases.waiting) + c.leases.granted
+	return len(c.leases.waiting) + c.leases.granted + c.leases.manager.PendingOutcomes()
 }
--- a/internal/lease/acceptor.go
+++ b/internal/lease/acceptor.go
@@ -70,6 +70,7 @@
 	running           bool          // this process has the lease and has not reported a result
 	grantedGeneration uint32        // generation + 1 of the last lease granted here that may have run, or 0
 	announceAtMS      float64       // when the outcome is sent next; 0: it is not announced
+	announcedAtMS     float64       // when the outcome was sent first; 0: never
 	acknowledged      map[Peer]bool // members that have the outcome; nil: it is not announced
 }
 
--- a/internal/lease/recovery_test.go
+++ b/internal/lease/recovery_test.go
@@ -210,3 +210,34 @@
 		})
 	}
 }
+
+// TestOutcomesSpreadUnderLoad guards against repeats that are told that a load may have run,
+// although it has ended with a known outcome: under load, rounds took the whole budget, and
+// outcomes were not announced before their front end was restarted.
+func TestOutcomesSpreadUnderLoad(t *testing.T) {
+	const (
+		loads     = 2000
+		perSecond = 400.0
+		spreadMS  = 1000.0
+	)
+	for _, fronts := range []int{3, 5, 16} {
+		t.Run(fmt.Sprintf("%d front ends", fronts), func(t *testing.T) {
+			f := newFleet(13, fronts, false, Options{})
+			f.Run(10_000)
+			for n := range loads {
+				f.After(float64(n)*1000/perSecond, func() { f.requestLoad(n%fronts, n, func(DecisionKind) {}) })
+			}
+			f.Run(loads*1000/perSecond + spreadMS)
+			for i, m := range f.managers {
+				if pending := m.PendingOutcomes(); pending > 0 {
+					t.Errorf("front end %d: %d outcomes are known to less than a quorum", i, pending)
+				}
+			}
+			f.kill(0)
+			f.Run(5000)
+			f.start(0)
+			f.Run(10_000)
+			f.checkKnown(t, numbersTo(loads))
+		})
+	}
+}
