mysql: after an engine moved, its sessions at the old server are not used again

Cause: setEndpoint closes the idle sessions of an engine that moved. A session that was busy, being dialled or logging in at that moment returned to the pool when its attempt ended: attemptEnded asked whether the engine was removed or draining, not whether it was still the engine of this connection. The same way KILL QUERY for a statement at the old server went to the new one, where its number belongs to another connection.

Change: a session keeps the address and account that it connects to. It is closed after its attempt unless its engine's entry still names them, and KILL QUERY goes there.

--- a/internal/mysql/attempt.go
+++ b/internal/mysql/attempt.go
@@ -104,7 +104,7 @@
 	// A result may arrive just before the session is interrupted. Without this check,
 	// the next statement would fail on the closed connection, and the failure would
 	// count against the engine.
-	if done.broken || s.interrupted || s.engine.removed || s.engine.draining() {
+	if done.broken || !s.isReusable() {
 		p.closeSession(s)
 		p.removeIfUnused(s.engine)
 	}
--- a/internal/mysql/fakes_test.go
+++ b/internal/mysql/fakes_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"dewhill/internal/fakes"
 )
@@ -34,8 +35,10 @@
 	// (wait until the statement is killed), "error N" (reply with error number N),
 	// "run-error N" (run the statement, then reply with error number N), "rows" (run the
 	// statement and reply with rows), "rows-error N" (reply with rows and then error
-	// number N), or "" for none.
+	// number N), "wait N" (run the statement for N ms, unless it is killed), or "" for none.
 	behavior func(step, sql string) string
+	// loginDelay returns how long a connection waits for the greeting; nil: not at all.
+	loginDelay func(connectionID uint32) time.Duration
 }
 
 type fakeConnection struct {
@@ -88,6 +91,13 @@
 	return e.prepares, e.kills
 }
 
+// Connections returns the number of open connections.
+func (e *FakeEngine) Connections() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.connections)
+}
+
 // SetBehavior sets the function that chooses the engine's action at each step.
 func (e *FakeEngine) SetBehavior(behavior func(step, sql string) string) {
 	e.mu.Lock()
@@ -95,6 +105,13 @@
 	e.behavior = behavior
 }
 
+// SetLoginDelay sets the function that chooses how long a connection waits for the greeting.
+func (e *FakeEngine) SetLoginDelay(delay func(connectionID uint32) time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loginDelay = delay
+}
+
 // CloseAll closes every connection.
 func (e *FakeEngine) CloseAll() {
 	e.mu.Lock()
@@ -115,7 +132,11 @@
 		statements: map[uint32]string{},
 	}
 	e.connections[connection.id] = connection
+	delay := e.loginDelay
 	e.mu.Unlock()
+	if delay != nil {
+		time.Sleep(delay(connection.id))
+	}
 	defer func() {
 		e.mu.Lock()
 		delete(e.connections, connection.id)
@@ -246,6 +267,8 @@
 		e.queueRows(connection, step, params)
 		connection.stream.queuePacket(failure)
 		return true
+	case kind == "wait":
+		return e.wait(connection, sql, time.Duration(code)*time.Millisecond)
 	case action == "hang":
 		<-connection.killed
 		connection.stream.queuePacket((&Error{1317, "70100", "Query execution was interrupted"}).packet())
@@ -256,6 +279,22 @@
 	return false
 }
 
+// wait runs a statement for a time, unless it is killed.
+func (e *FakeEngine) wait(connection *fakeConnection, sql string, duration time.Duration) bool {
+	select {
+	case <-connection.killed: // a KILL QUERY of an idle connection has no effect
+	default:
+	}
+	select {
+	case <-connection.killed:
+		connection.stream.queuePacket((&Error{1317, "70100", "Query execution was interrupted"}).packet())
+	case <-time.After(duration):
+		e.countSuccess(sql)
+		connection.stream.queuePacket(okPacket(1, 0))
+	}
+	return true
+}
+
 // countSuccess counts a run that is answered without an error.
 func (e *FakeEngine) countSuccess(sql string) {
 	e.count(sql)
--- a/internal/mysql/kill.go
+++ b/internal/mysql/kill.go
@@ -26,10 +26,9 @@
 	if written {
 		p.Counters.Kills++
 	}
-	endpoint := e.Engine
 	go func() {
 		if written {
-			p.killQuery(endpoint, a.session.threadID)
+			p.killQuery(a.session.endpoint, a.session.threadID)
 		}
 		p.loop.Post(func() {
 			if e.attempts[a.key()] == a {
--- a/internal/mysql/pool.go
+++ b/internal/mysql/pool.go
@@ -85,7 +85,7 @@
 		e = &engine{attempts: map[attemptKey]*attempt{}}
 		p.engines[endpoint.ID] = e
 	}
-	moved := e.Address != endpoint.Address || e.User != endpoint.User || e.Password != endpoint.Password
+	moved := !endpoint.sameServer(&e.Engine)
 	e.Engine = endpoint
 	e.removed = false
 	if moved || e.draining() {
@@ -93,9 +93,15 @@
 	}
 }
 
+// sameServer reports whether two entries of an engine have the same server and account.
+func (e *Engine) sameServer(other *Engine) bool {
+	return e.Address == other.Address && e.User == other.User && e.Password == other.Password
+}
+
 // quiesce cancels the attempts whose statement has not been written, and closes
-// the idle sessions. It must cancel them explicitly: a connection may be
-// established long after the engine stopped getting new statements.
+// the idle sessions; busy ones are closed when their attempts have ended. It must
+// cancel attempts explicitly: a connection may be established long after the engine
+// stopped getting new statements.
 func (p *Pool) quiesce(e *engine) {
 	for _, a := range e.attempts {
 		a.cancelIfUnwritten()
@@ -192,7 +198,7 @@
 	}
 	s := newSession(e)
 	e.sessions = append(e.sessions, s)
-	go p.serveSession(s, e.Engine)
+	go p.serveSession(s)
 	return s
 }
 
--- a/internal/mysql/session.go
+++ b/internal/mysql/session.go
@@ -25,6 +25,8 @@
 	handleOrder []string          // keys of handles, oldest first
 	counters    PoolCounters      // of the current attempt
 
+	endpoint Engine // to which the session connects; constant
+
 	// Used by the event loop.
 	engine      *engine
 	attempts    chan *attempt
@@ -35,7 +37,18 @@
 }
 
 func newSession(e *engine) *session {
-	return &session{engine: e, handles: map[string]uint32{}, attempts: make(chan *attempt, attemptQueueLength)}
+	return &session{
+		engine:   e,
+		endpoint: e.Engine,
+		handles:  map[string]uint32{},
+		attempts: make(chan *attempt, attemptQueueLength),
+	}
+}
+
+// isReusable reports whether a session without an attempt may run another one: its
+// connection is usable, its engine takes statements and has not moved.
+func (s *session) isReusable() bool {
+	return !s.interrupted && !s.engine.removed && !s.engine.draining() && s.endpoint.sameServer(&s.engine.Engine)
 }
 
 // interrupt closes the connection of a session that runs a statement. The session's
@@ -49,10 +62,10 @@
 
 // serveSession runs the attempts of a session until the session is closed or its
 // connection breaks.
-func (p *Pool) serveSession(s *session, e Engine) {
+func (p *Pool) serveSession(s *session) {
 	broken := false
 	for a := range s.attempts {
-		done := p.serveAttempt(s, e, a)
+		done := p.serveAttempt(s, a)
 		broken = done.broken
 		p.loop.Post(func() { p.attemptEnded(a, done) })
 		if broken {
@@ -71,8 +84,8 @@
 
 // serveAttempt runs an attempt and returns how it ended. It opens the session's
 // connection first if necessary.
-func (p *Pool) serveAttempt(s *session, e Engine, a *attempt) attemptDone {
-	result, err := p.runAttempt(s, e, a)
+func (p *Pool) serveAttempt(s *session, a *attempt) attemptDone {
+	result, err := p.runAttempt(s, a)
 	done := attemptDone{
 		result:   result,
 		err:      err,
@@ -83,9 +96,9 @@
 	return done
 }
 
-func (p *Pool) runAttempt(s *session, e Engine, a *attempt) (*Result, error) {
+func (p *Pool) runAttempt(s *session, a *attempt) (*Result, error) {
 	if s.stream == nil {
-		if err := p.openSession(s, e, a.statement.Database); err != nil {
+		if err := p.openSession(s, a.statement.Database); err != nil {
 			return nil, notWrittenError{err}
 		}
 	}
@@ -98,16 +111,16 @@
 }
 
 // openSession connects to the engine and logs in.
-func (p *Pool) openSession(s *session, e Engine, database string) error {
+func (p *Pool) openSession(s *session, database string) error {
 	s.counters.Dials++
-	conn, err := net.DialTimeout("tcp", e.Address, p.connectTimeout)
+	conn, err := net.DialTimeout("tcp", s.endpoint.Address, p.connectTimeout)
 	if err != nil {
 		s.counters.DialFailures++
 		return err
 	}
 	_ = conn.SetDeadline(time.Now().Add(p.connectTimeout + logInTimeout))
 	stream := newStream(conn)
-	threadID, err := logIn(stream, e.User, e.Password, database)
+	threadID, err := logIn(stream, s.endpoint.User, s.endpoint.Password, database)
 	if err != nil {
 		_ = conn.Close()
 		return err
