mysql: a late KILL QUERY ends no other client's statement

Cause: KILL QUERY goes on a connection of its own and names the session's connection, not its statement. If that connection came up late, the statement had ended by itself and the session was in use for another client.

Change: a session with a KILL QUERY under way is not used again. If the statement ended otherwise (or KILL QUERY got no OK), it is closed, and its number with it. If it ended with 1317, the session waits for the answer of the KILL QUERY; at most a quarter of an engine's sessions wait, others are closed. A second cancel of the same attempt sends no second KILL QUERY.

--- a/internal/mysql/attempt.go
+++ b/internal/mysql/attempt.go
@@ -93,6 +93,11 @@
 	counters PoolCounters
 }
 
+// wasInterrupted reports whether the engine ended the statement after a KILL QUERY.
+func (d *attemptDone) wasInterrupted() bool {
+	return d.err == nil && d.result.Err != nil && d.result.Err.Code == codeQueryInterrupted
+}
+
 // attemptEnded releases the session of an attempt that has ended, and reports the
 // result of the attempt to the event loop.
 func (p *Pool) attemptEnded(a *attempt, done attemptDone) {
@@ -104,9 +109,12 @@
 	// A result may arrive just before the session is interrupted. Without this check,
 	// the next statement would fail on the closed connection, and the failure would
 	// count against the engine.
-	if done.broken || !s.isReusable() {
+	switch {
+	case done.broken || !s.isReusable():
 		p.closeSession(s)
 		p.removeIfUnused(s.engine)
+	case s.killing:
+		p.awaitKill(s, done.wasInterrupted())
 	}
 	result := p.attemptResult(s, done, a.isCancelled())
 	ended := dispatch.AttemptEnded{RequestID: a.requestID, Attempt: a.number, Result: result}
@@ -123,8 +131,7 @@
 	var notWritten notWrittenError
 	switch {
 	case done.err == nil:
-		interrupted := done.result.Err != nil && done.result.Err.Code == codeQueryInterrupted
-		if cancelled && interrupted {
+		if cancelled && done.wasInterrupted() {
 			return control.Cancelled
 		}
 		return control.Served
--- a/internal/mysql/kill.go
+++ b/internal/mysql/kill.go
@@ -10,6 +10,11 @@
 
 const killTimeout = 2 * time.Second // for the login and the command
 
+// maxAwaitingKillDivisor bounds the sessions that await the end of their KILL QUERY, as a part
+// of the sessions of an engine. Others are closed, so that a crowd of clients that leave does
+// not keep an engine from running statements.
+const maxAwaitingKillDivisor = 4
+
 // CancelAttempt cancels an attempt. If its statement was written, a KILL QUERY is
 // sent on another connection, because a connection that runs a statement accepts no
 // commands.
@@ -23,29 +28,69 @@
 		return
 	}
 	written := a.markCancelled()
+	s := a.session
+	if s.killing {
+		return
+	}
 	if written {
 		p.Counters.Kills++
+		s.killing = true
 	}
 	go func() {
+		var err error
 		if written {
-			p.killQuery(a.session.endpoint, a.session.threadID)
+			err = p.sendKill(s.endpoint, s.threadID)
 		}
 		p.loop.Post(func() {
+			if written {
+				p.killEnded(s, err)
+			}
 			if e.attempts[a.key()] == a {
-				a.session.interrupt()
+				s.interrupt()
 			}
 		})
 	}()
 }
 
-// killQuery ends the statement that runs on the connection with this thread ID, and
-// logs a failure to do so.
-func (p *Pool) killQuery(e Engine, threadID uint32) {
-	if err := p.sendKill(e, threadID); err != nil {
-		p.loop.Post(func() { p.loop.Logf("engine %s: KILL QUERY failed: %v", e.ID, err) })
+// awaitKill keeps a session whose attempt has ended from being used while its KILL QUERY may
+// still arrive: it would end the next statement. killed means that the KILL QUERY has ended
+// the statement of the attempt.
+func (p *Pool) awaitKill(s *session, killed bool) {
+	awaiting := 0
+	for _, other := range s.engine.sessions {
+		if other.awaitingKill {
+			awaiting++
+		}
+	}
+	if !killed || awaiting >= p.limits.ConnectionsPerEngine/maxAwaitingKillDivisor {
+		p.closeSession(s)
+		p.removeIfUnused(s.engine)
+		return
+	}
+	s.busy = true
+	s.awaitingKill = true
+}
+
+// killEnded logs the failure of a KILL QUERY, and lets its session be used again. After a
+// failure the KILL QUERY may still arrive, so that the session is closed.
+func (p *Pool) killEnded(s *session, err error) {
+	s.killing = false
+	if err != nil {
+		p.loop.Logf("engine %s: KILL QUERY failed: %v", s.engine.ID, err)
+	}
+	if !s.awaitingKill {
+		return
+	}
+	s.awaitingKill = false
+	s.busy = false
+	s.idleSinceMS = p.loop.Now()
+	if err != nil || !s.isReusable() {
+		p.closeSession(s)
+		p.removeIfUnused(s.engine)
 	}
 }
 
+// sendKill ends the statement that runs on the connection with this thread ID.
 func (p *Pool) sendKill(e Engine, threadID uint32) error {
 	conn, err := net.DialTimeout("tcp", e.Address, p.connectTimeout)
 	if err != nil {
--- a/internal/mysql/session.go
+++ b/internal/mysql/session.go
@@ -34,6 +34,9 @@
 	closed      bool
 	interrupted bool // the connection was closed by interrupt
 	idleSinceMS float64
+
+	killing      bool // a KILL QUERY for a statement of this session may still arrive
+	awaitingKill bool // the session is busy only because of that
 }
 
 func newSession(e *engine) *session {
