mysql: repeats that wait for a load at another front end are answered at shutdown

Cause: at the shutdown deadline the dispatcher answers every open request. A statement that waits for its lease has not been submitted to it yet; it waits in the lease manager of the platform's front, for its own deadline.

Change: at the shutdown deadline the lease manager decides all requests, as at their deadlines, and grants none any more: 1180 where the load runs elsewhere, else 1226, and a lease that may have been acquired is released. Repeats that wait for such a statement at the same front end get its answer.

What waits at the dispatcher was answered before. TestExpiredRequestsAreDecidedAtOnce checks the decisions.

--- a/internal/cluster/leases.go
+++ b/internal/cluster/leases.go
@@ -86,6 +86,14 @@
 	c.leases.apply(lease.Released{Key: k, Result: result, Outcome: outcome})
 }
 
+// ExpireLeaseRequests makes the decisions on all lease requests now, as the process is about
+// to be killed.
+func (c *Cluster) ExpireLeaseRequests() {
+	if c.leases != nil {
+		c.leases.apply(lease.RequestsExpired{})
+	}
+}
+
 // VotesOnLeases reports whether this front end votes on leases: it has all earlier votes of
 // its own, or has caught up with the voters. It returns true if replication is off.
 func (c *Cluster) VotesOnLeases() bool { return c.leases == nil || c.leases.manager.CanVote() }
--- a/internal/lease/events.go
+++ b/internal/lease/events.go
@@ -35,6 +35,9 @@
 		DeadlineMS  float64
 		IsRetry     bool // the client marked the attempt as a retry
 	}
+	// RequestsExpired reports that the process is about to be killed: all requests are
+	// decided now, as if their deadlines had passed, and later ones are not granted.
+	RequestsExpired struct{}
 	// Released reports how a load that was granted a lease has ended.
 	Released struct {
 		Key     Key
@@ -51,6 +54,7 @@
 func (MessageReceived) event() {}
 func (MembersChanged) event()  {}
 func (AcquireRequest) event()  {}
+func (RequestsExpired) event() {}
 func (Released) event()        {}
 func (Persisted) event()       {}
 
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -23,6 +23,7 @@
 	members    members
 	records    recordTable
 	operations []*operation
+	expired    bool      // no request is granted any more
 	announcing []*record // outcomes that not all members have acknowledged
 	recovery   recovery
 
@@ -91,6 +92,8 @@
 		m.members.update(ev)
 	case AcquireRequest:
 		m.acquire(ev)
+	case RequestsExpired:
+		m.expireRequests()
 	case Released:
 		m.handleReleased(ev)
 	case Persisted:
--- a/internal/lease/manager_test.go
+++ b/internal/lease/manager_test.go
@@ -1,6 +1,9 @@
 package lease
 
-import "testing"
+import (
+	"maps"
+	"testing"
+)
 
 // TestDecisions checks each decision: on an unknown key that is marked as a retry, on a
 // key that belongs to another load, on a load that is running, has run or may have run,
@@ -91,3 +94,34 @@
 		f.Run(150)
 	}
 }
+
+// TestExpiredRequestsAreDecidedAtOnce guards against requests without a decision when their
+// process is about to be killed: one that waits for a load that runs elsewhere, one without a
+// quorum, and one that arrives later, which must not be granted.
+func TestExpiredRequestsAreDecidedAtOnce(t *testing.T) {
+	f := newFleet(6, 3, false, Options{})
+	f.Run(10_000)
+	if d := f.request(0, AcquireRequest{Key: testKey(1), Fingerprint: 5}, 2500, 3000); d.Kind != Granted {
+		t.Fatalf("the load that runs elsewhere: %+v, want it granted", d)
+	}
+	decisions := map[int]DecisionKind{}
+	request := func(key int) {
+		f.lastRequestID++
+		f.waiting[f.lastRequestID] = func(d Decision) { decisions[key] = d.Kind }
+		f.apply(1, AcquireRequest{Key: testKey(key), Fingerprint: 5, RequestID: f.lastRequestID, DeadlineMS: f.NowMS + 20_000})
+	}
+	request(1)
+	f.Run(2000)
+	f.setPartition(0, 1, 0)
+	request(2)
+	f.Run(100)
+	if len(decisions) > 0 {
+		t.Fatalf("decided before the end: %v", decisions)
+	}
+	f.apply(1, RequestsExpired{})
+	request(3)
+	want := map[int]DecisionKind{1: RunningElsewhere, 2: NoQuorum, 3: NoQuorum}
+	if !maps.Equal(decisions, want) {
+		t.Errorf("decisions %v, want %v", decisions, want)
+	}
+}
--- a/internal/lease/requests.go
+++ b/internal/lease/requests.go
@@ -104,6 +104,9 @@
 // lease, because the request may take over the lease.
 func (m *Manager) acquire(request AcquireRequest) {
 	m.Counters.Requests++
+	if m.expired {
+		request.DeadlineMS = m.nowMS
+	}
 	m.operations = slices.DeleteFunc(m.operations, func(op *operation) bool {
 		return op.request == nil && op.key == request.Key
 	})
@@ -116,6 +119,16 @@
 	})
 }
 
+// expireRequests lets all requests of clients end now.
+func (m *Manager) expireRequests() {
+	m.expired = true
+	for _, op := range m.operations {
+		if op.request != nil {
+			op.deadlineMS = m.nowMS
+		}
+	}
+}
+
 // handleReleased processes the result of a load that this front end ran.
 func (m *Manager) handleReleased(ev Released) {
 	r := m.recordOf(ev.Key)
--- a/internal/mysql/fleet_test.go
+++ b/internal/mysql/fleet_test.go
@@ -186,8 +186,9 @@
 
 // reportedLeases is what a front end reports about leases.
 type reportedLeases struct {
-	Votes bool
-	Ended int // loads with a known outcome
+	Votes   bool
+	Claimed int // loads whose leases are held
+	Ended   int // loads with a known outcome
 }
 
 // leaseState returns what a front end reports about leases, if it answers.
--- a/internal/mysql/leases.go
+++ b/internal/mysql/leases.go
@@ -17,6 +17,9 @@
 	// Release reports how a load whose lease was granted has ended. ok is the OK packet
 	// of a load with the result Completed.
 	Release(name string, result lease.RunResult, ok []byte)
+	// ExpireRequests makes the decisions on all requests now, as the process is about to
+	// be killed.
+	ExpireRequests()
 }
 
 // leaseDecisionAllowanceMS is how long after a load's deadline the decision on its
--- a/internal/mysql/shutdown.go
+++ b/internal/mysql/shutdown.go
@@ -35,9 +35,15 @@
 }
 
 // ReachShutdownDeadline must be called after all open statements were answered, when the
-// platform is about to kill the process. Statements that still arrive are rejected, and
-// idle connections are not waited for.
-func (s *Server) ReachShutdownDeadline() { s.shutdownDeadlinePassed = true }
+// platform is about to kill the process. Statements that wait for a lease, or for a load at
+// another front end, are answered. Those that still arrive are rejected, and idle connections
+// are not waited for.
+func (s *Server) ReachShutdownDeadline() {
+	s.shutdownDeadlinePassed = true
+	if s.Leases != nil {
+		s.Leases.ExpireRequests()
+	}
+}
 
 // Idle reports whether the process may end: no client waits for a response, and unless the
 // shutdown deadline has passed, no client is about to send a command.
--- a/internal/server/leasecoordinator.go
+++ b/internal/server/leasecoordinator.go
@@ -45,6 +45,11 @@
 	go c.platform.loop.Post(func() { c.platform.cluster.ReleaseLease(leaseKey(load), result, okPacket) })
 }
 
+// ExpireRequests makes the decisions on all requests now.
+func (c *leaseCoordinator) ExpireRequests() {
+	go c.platform.loop.Post(func() { c.platform.cluster.ExpireLeaseRequests() })
+}
+
 // close notifies the platform front end that no lease is requested any more. Until then,
 // the platform front end does not end.
 func (c *leaseCoordinator) close() {
