lease: copied records are evicted by age, so a restarted front end can catch up

Callers would have seen: in a fleet that has run for ten minutes (or has more than 16,384 ids), a front end that was restarted does not vote for minutes, and is not ready; the next restarts then lose ids, and loads run twice.

Cause: records were evicted in the order in which they had arrived, and only the first was compared with the retention. One that catches up gets its records in any order: it kept expired ones behind a young first one, and at the limit of ids it evicted new ones. Voters evict by age, so its copy never equalled theirs.

Change: records are kept in the order of their age; a copy that is older than all of a full table is not taken. A reply to a probe compares 8 top ranges, not 4: at the limit the copies differ in the records of one second.

--- a/internal/lease/antientropy.go
+++ b/internal/lease/antientropy.go
@@ -90,8 +90,8 @@
 	m.sendRecords(from, m.records.tree.FindAll(msg.exchange.Requested))
 }
 
-// receiveRecords learns records from another copy, except records that have reached
-// Times.RetentionMS and would be evicted at once.
+// receiveRecords learns records from another copy, except records that would be evicted at
+// once: those that have reached Times.RetentionMS, and the oldest of a full table.
 func (m *Manager) receiveRecords(copies []recordCopy) {
 	for i := range copies {
 		c := &copies[i]
@@ -101,8 +101,10 @@
 		}
 		r := m.records.byKey[c.key]
 		if r == nil {
-			r = m.recordOf(c.key)
-			r.createdAtMS = m.nowMS - ageMS
+			r = m.addRecord(c.key, m.nowMS-ageMS)
+		}
+		if r == nil {
+			continue
 		}
 		learned := m.learn(r, c.accepted, c.value)
 		promised := m.promise(r, c.promised)
--- a/internal/lease/recovery.go
+++ b/internal/lease/recovery.go
@@ -20,7 +20,7 @@
 	recoveryStepMS        = 50.0
 	maxProbesPerStep      = 4 // members that are probed
 	maxCopiedPerStep      = 8 // ranges whose records are requested
-	maxTopRangesPerReply  = 4 // top ranges that are compared further after a reply to a probe
+	maxTopRangesPerReply  = 8 // top ranges that are compared further after a reply to a probe
 	recoveryRetryMS       = 300.0
 	catchUpBytesPerSecond = 1 << 20
 	catchUpBurstBytes     = 48 << 10
--- a/internal/lease/recovery_test.go
+++ b/internal/lease/recovery_test.go
@@ -15,10 +15,12 @@
 	repeatsPerBatch = 100
 )
 
+// recentSeconds is the age of completed loads that are far from being evicted.
+const recentSeconds = 200
+
 // addCompletedLoads gives all front ends the records of completed loads with the keys of
-// the numbers 0 to count - 1, which are up to 200 seconds old.
-func (f *fleet) addCompletedLoads(count int) {
-	const maxAgeSeconds = 200
+// the numbers 0 to count - 1, whose ages are up to maxAgeSeconds.
+func (f *fleet) addCompletedLoads(count, maxAgeSeconds int) {
 	for n := range count {
 		completed := Value{State: Ended, Owner: 1, Fingerprint: uint64(n), Outcome: []byte("done")}
 		record := recordCopy{
@@ -124,14 +126,42 @@
 	return numbers
 }
 
+// rollingRestart describes a fleet in which one front end after another is restarted, each as
+// soon as the one before votes.
+type rollingRestart struct {
+	fronts, loads int
+	lossRate      float64
+	traffic       bool
+	maxAgeSeconds int // of the loads
+	kept          int // number of the latest loads that are known after the restarts
+}
+
+// check checks that each front end votes in time, and that the loads are known at the end.
+func (c rollingRestart) check(t *testing.T) {
+	t.Helper()
+	f := newFleet(11, c.fronts, false, Options{})
+	f.Run(10_000)
+	f.addCompletedLoads(c.loads, c.maxAgeSeconds)
+	ran := numbersTo(c.loads)[c.loads-c.kept:]
+	stopTraffic := func() []int { return nil }
+	if c.traffic {
+		stopTraffic = f.startTraffic(c.loads)
+	}
+	f.lossRate = c.lossRate
+	for i := range c.fronts {
+		recoveryMS := f.restart(i, 1000)
+		t.Logf("front end %d voted %.0f ms after its restart, with %d records", i, recoveryMS, f.managers[i].RecordCount())
+		if recoveryMS >= maxRecoveryMS {
+			t.Errorf("front end %d does not vote %.0f ms after its restart", i, recoveryMS)
+		}
+	}
+	f.checkKnown(t, append(ran, stopTraffic()...))
+}
+
 // TestRollingRestartForgetsNoLoad guards against loads that run twice after a rolling
 // restart, because a front end that was restarted needed a minute to copy their records.
 func TestRollingRestartForgetsNoLoad(t *testing.T) {
-	cases := []struct {
-		fronts, loads int
-		lossRate      float64
-		traffic       bool
-	}{
+	for _, c := range []rollingRestart{
 		{fronts: 2, loads: 2760},
 		{fronts: 3, loads: 300},
 		{fronts: 3, loads: 2760, traffic: true},
@@ -140,27 +170,25 @@
 		{fronts: 4, loads: 14_000, lossRate: 0.02, traffic: true},
 		{fronts: 5, loads: 2760, lossRate: 0.05, traffic: true},
 		{fronts: 16, loads: 5000, traffic: true},
+	} {
+		c.maxAgeSeconds = recentSeconds
+		c.kept = c.loads
+		t.Run(fmt.Sprintf("%d front ends %d loads", c.fronts, c.loads), c.check)
 	}
-	for _, c := range cases {
-		t.Run(fmt.Sprintf("%d front ends %d loads", c.fronts, c.loads), func(t *testing.T) {
-			f := newFleet(11, c.fronts, false, Options{})
-			f.Run(10_000)
-			f.addCompletedLoads(c.loads)
-			ran := numbersTo(c.loads)
-			stopTraffic := func() []int { return nil }
-			if c.traffic {
-				stopTraffic = f.startTraffic(c.loads)
-			}
-			f.lossRate = c.lossRate
-			for i := range c.fronts {
-				recoveryMS := f.restart(i, 1000)
-				t.Logf("front end %d voted %.0f ms after its restart", i, recoveryMS)
-				if recoveryMS >= maxRecoveryMS {
-					t.Errorf("front end %d does not vote %.0f ms after its restart", i, recoveryMS)
-				}
-			}
-			f.checkKnown(t, append(ran, stopTraffic()...))
-		})
+}
+
+// TestRollingRestartWhileRecordsAreEvicted guards against a front end that never votes again,
+// as it evicted copied records in the order in which they had arrived, and so kept others
+// than the voters: by age, and for lack of capacity.
+func TestRollingRestartWhileRecordsAreEvicted(t *testing.T) {
+	for _, c := range []rollingRestart{
+		{fronts: 3, loads: 3000, maxAgeSeconds: 600, kept: 2000, traffic: true},
+		{fronts: 3, loads: 10_000, maxAgeSeconds: 620, kept: 7500, lossRate: 0.02, traffic: true},
+		{fronts: 3, loads: 16_000, maxAgeSeconds: 600, kept: 8000, traffic: true},
+		{fronts: 3, loads: 20_000, maxAgeSeconds: recentSeconds, kept: 8000, traffic: true},
+		{fronts: 5, loads: 20_000, maxAgeSeconds: recentSeconds, kept: 8000, traffic: true},
+	} {
+		t.Run(fmt.Sprintf("%d front ends %d loads of %d s", c.fronts, c.loads, c.maxAgeSeconds), c.check)
 	}
 }
 
@@ -177,7 +205,7 @@
 		t.Run(fmt.Sprintf("%d front ends", fronts), func(t *testing.T) {
 			f := newFleet(12, fronts, false, Options{})
 			f.Run(10_000)
-			f.addCompletedLoads(loads)
+			f.addCompletedLoads(loads, recentSeconds)
 			startedAtMS := f.NowMS
 			f.intercept = func(_, _ int, msg []byte) bool {
 				decoded, _ := decode(msg)
