--- a/internal/lease/recovery_test.go
+++ b/internal/lease/recovery_test.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// maxRecoveryMS is the time within which a front end that was restarted must vote
-	// again: operators wait for it for 10 seconds.
+	// maxRecoveryMS is the time within which a restarted front end must vote again:
+	// operators wait for it for 10 seconds.
 	maxRecoveryMS = 10_000.0
 	// trafficPerSecond is the rate of new loads while front ends are restarted.
 	trafficPerSecond = 90.0
@@ -133,7 +133,7 @@
 	lossRate      float64
 	traffic       bool
 	maxAgeSeconds int // of the loads
-	kept          int // number of the latest loads that are known after the restarts
+	remembered    int // number of the latest loads that are known after the restarts
 }
 
 // check checks that each front end votes in time, and that the loads are known at the end.
@@ -142,7 +142,7 @@
 	f := newFleet(11, c.fronts, false, Options{})
 	f.Run(10_000)
 	f.addCompletedLoads(c.loads, c.maxAgeSeconds)
-	ran := numbersTo(c.loads)[c.loads-c.kept:]
+	ran := numbersTo(c.loads)[c.loads-c.remembered:]
 	stopTraffic := func() []int { return nil }
 	if c.traffic {
 		stopTraffic = f.startTraffic(c.loads)
@@ -159,7 +159,7 @@
 }
 
 // TestRollingRestartForgetsNoLoad guards against loads that run twice after a rolling
-// restart, because a front end that was restarted needed a minute to copy their records.
+// restart, because a restarted front end needed a minute to copy their records.
 func TestRollingRestartForgetsNoLoad(t *testing.T) {
 	for _, c := range []rollingRestart{
 		{fronts: 2, loads: 2760},
@@ -172,21 +172,21 @@
 		{fronts: 16, loads: 5000, traffic: true},
 	} {
 		c.maxAgeSeconds = recentSeconds
-		c.kept = c.loads
+		c.remembered = c.loads
 		t.Run(fmt.Sprintf("%d front ends %d loads", c.fronts, c.loads), c.check)
 	}
 }
 
-// TestRollingRestartWhileRecordsAreEvicted guards against a front end that never votes again,
-// as it evicted copied records in the order in which they had arrived, and so kept others
-// than the voters: by age, and for lack of capacity.
+// TestRollingRestartWhileRecordsAreEvicted guards against restarted front ends without a
+// vote: each evicted copied records in the order in which they had arrived, and so had
+// others than the voters.
 func TestRollingRestartWhileRecordsAreEvicted(t *testing.T) {
 	for _, c := range []rollingRestart{
-		{fronts: 3, loads: 3000, maxAgeSeconds: 600, kept: 2000, traffic: true},
-		{fronts: 3, loads: 10_000, maxAgeSeconds: 620, kept: 7500, lossRate: 0.02, traffic: true},
-		{fronts: 3, loads: 16_000, maxAgeSeconds: 600, kept: 8000, traffic: true},
-		{fronts: 3, loads: 20_000, maxAgeSeconds: recentSeconds, kept: 8000, traffic: true},
-		{fronts: 5, loads: 20_000, maxAgeSeconds: recentSeconds, kept: 8000, traffic: true},
+		{fronts: 3, loads: 3000, maxAgeSeconds: 600, remembered: 2000, traffic: true},
+		{fronts: 3, loads: 10_000, maxAgeSeconds: 620, remembered: 7500, lossRate: 0.02, traffic: true},
+		{fronts: 3, loads: 16_000, maxAgeSeconds: 600, remembered: 8000, traffic: true},
+		{fronts: 3, loads: 20_000, maxAgeSeconds: recentSeconds, remembered: 8000, traffic: true},
+		{fronts: 5, loads: 20_000, maxAgeSeconds: recentSeconds, remembered: 8000, traffic: true},
 	} {
 		t.Run(fmt.Sprintf("%d front ends %d loads of %d s", c.fronts, c.loads, c.maxAgeSeconds), c.check)
 	}
@@ -239,9 +239,9 @@
 	}
 }
 
-// TestOutcomesSpreadUnderLoad guards against repeats that are told that a load may have run,
-// although it has ended with a known outcome: under load, rounds took the whole budget, and
-// outcomes were not announced before their front end was restarted.
+// TestOutcomesSpreadUnderLoad guards against the answer that a load may have run, although
+// it has ended with a known outcome: rounds took all of the budget, and outcomes were not
+// announced before their front end was restarted.
 func TestOutcomesSpreadUnderLoad(t *testing.T) {
 	const (
 		loads     = 2000
--- a/internal/mysql/leases.go
+++ b/internal/mysql/leases.go
@@ -38,7 +38,7 @@
 	s.loop.After(t.deadlineMS+leaseDecisionAllowanceMS, func() {
 		if !decided {
 			decided = true
-			done(outcome{err: s.rejectionOfTry()})
+			done(outcome{err: s.rejectionOfAttempt()})
 		}
 	})
 	s.Leases.Acquire(name, fingerprint, t.deadlineMS, t.isRetry, func(decision lease.Decision) {
@@ -112,6 +112,6 @@
 		return outcome{err: unknownLoad()}
 	default:
 		s.Counters.Rejected++
-		return outcome{err: s.rejectionOfTry()}
+		return outcome{err: s.rejectionOfAttempt()}
 	}
 }
--- a/internal/mysql/loads.go
+++ b/internal/mysql/loads.go
@@ -116,13 +116,12 @@
 	})
 }
 
-// rejectLoad rejects a try of a load that the server does not know, unless it knows that an
-// earlier try had no effect. Without leases it is no marked retry of an unknown load: so a
-// retry of it may run.
+// rejectLoad rejects an attempt at a load that the server does not know. Without leases it is
+// a first attempt, or a retry after one that had no effect, so a retry of it may run.
 func (s *Server) rejectLoad(name string, done func(outcome)) {
 	s.Counters.Rejected++
 	if s.Leases != nil {
-		done(outcome{err: s.rejectionOfTry()})
+		done(outcome{err: s.rejectionOfAttempt()})
 		return
 	}
 	s.rememberReleased(name)
--- a/internal/mysql/refusal_test.go
+++ b/internal/mysql/refusal_test.go
@@ -18,7 +18,7 @@
 	release chan struct{} // lets a read end
 }
 
-// deployWithLimit starts a front end that remembers few ids.
+// deployWithLimit starts a front end with a limit of the ids that it remembers.
 func deployWithLimit(t *testing.T, knownIDs int) *limitedDeployment {
 	t.Helper()
 	d := deploy(t, 1, func(c *mysql.Config) {
@@ -89,10 +89,10 @@
 	}
 }
 
-// TestRefusalProvesNothingOfEarlierTries guards against a second run of a load that a front
+// TestRefusalProvesNothingOfEarlierAttempts guards against a second run of a load that a front
 // end does not remember: a marked repeat that was refused at the limit of open requests ran
-// when it was sent again, as if its refusal proved that no earlier try had run.
-func TestRefusalProvesNothingOfEarlierTries(t *testing.T) {
+// when it was sent again, as if its refusal proved that no earlier attempt had run.
+func TestRefusalProvesNothingOfEarlierAttempts(t *testing.T) {
 	for _, isPrepared := range []bool{false, true} {
 		t.Run(fmt.Sprintf("prepared %v", isPrepared), func(t *testing.T) {
 			const knownIDs = 2
@@ -115,8 +115,8 @@
 	}
 }
 
-// TestKnownLoadIsNotRefused guards against a repeat of a load that ran and is told that
-// nothing ran, because the front end was at its limit of open requests.
+// TestKnownLoadIsNotRefused guards against the answer that nothing ran to a repeat of a load
+// that ran, because the front end was at its limit of open requests.
 func TestKnownLoadIsNotRefused(t *testing.T) {
 	d := deployWithLimit(t, 16)
 	d.wantLoad(0, "known", false, false)
@@ -129,9 +129,9 @@
 	}
 }
 
-// TestRefusedFirstTryMayBeRepeated checks that a load whose first try was refused at the
+// TestRefusedFirstAttemptMayBeRepeated checks that a load whose first attempt was refused at the
 // limit of open requests runs once when it is repeated, marked as a retry.
-func TestRefusedFirstTryMayBeRepeated(t *testing.T) {
+func TestRefusedFirstAttemptMayBeRepeated(t *testing.T) {
 	d := deployWithLimit(t, 16)
 	d.atLimit(func() {
 		d.wantLoad(codeRejected, "refused", false, false)
--- a/internal/mysql/shutdown.go
+++ b/internal/mysql/shutdown.go
@@ -20,7 +20,7 @@
 	shutdownReceiveTime  = time.Second            // for the rest of a command that has begun to arrive
 )
 
-// BeginShutdown is called when the process was told to end. Clients are served until the
+// BeginShutdown is called when the process has received SIGTERM. Clients are served until the
 // listener is closed.
 func (s *Server) BeginShutdown() {}
 
--- a/internal/mysql/shutdown_test.go
+++ b/internal/mysql/shutdown_test.go
@@ -13,7 +13,7 @@
 	"dewhill/internal/testprocess"
 )
 
-// Clients of a front end that was told to end.
+// The times at which clients still connect and send.
 const (
 	connectAfterTerm = 400 * time.Millisecond // for so long after SIGTERM clients still connect
 	sendAfterTerm    = 600 * time.Millisecond // for so long they send on connections that are open
@@ -21,7 +21,7 @@
 	pipelined        = 5                      // statements that a client sends ahead
 )
 
-// shutdownClients send loads to a front end that is told to end.
+// shutdownClients send loads to a front end after its SIGTERM.
 type shutdownClients struct {
 	t        *testing.T
 	addr     string
@@ -106,12 +106,14 @@
 	}
 }
 
-// run calls terminate, which tells the front end to end, while clients are idle, sending or
+// run calls terminate, which sends SIGTERM to the front end, while clients are idle, sending or
 // half logged in, and lets others connect. It checks that each load is answered.
 func (s *shutdownClients) run(terminate func()) {
 	s.t.Helper()
 	open := func() *mysql.RawClient { return mysql.NewRawClient(s.t, s.addr, "app", "secret") }
-	idle, busy, ahead := open(), open(), open()
+	idle := open()
+	busy := open()
+	ahead := open()
 	halfLoggedIn, err := mysql.DialRaw(s.addr)
 	if err != nil {
 		s.t.Fatal(err)
@@ -138,8 +140,8 @@
 	s.t.Logf("%d statements were answered", s.answered.Load())
 }
 
-// TestStatementsAfterTermAreAnswered guards against loads without an answer: a front end
-// that was told to end accepted clients, logged them in, and dropped what they sent.
+// TestStatementsAfterTermAreAnswered guards against loads without an answer: after SIGTERM a
+// front end accepted clients, logged them in, and dropped what they sent.
 func TestStatementsAfterTermAreAnswered(t *testing.T) {
 	for _, withIDs := range []bool{false, true} {
 		t.Run(fmt.Sprintf("with ids %v", withIDs), func(t *testing.T) {
--- a/internal/mysql/submit.go
+++ b/internal/mysql/submit.go
@@ -125,8 +125,8 @@
 
 // The texts of a rejection: what is known of the statement.
 const (
-	nothingRan    = "nothing ran"
-	tryRanNothing = "this try ran nothing" // another front end may have run the load
+	nothingRan        = "nothing ran"
+	attemptRanNothing = "this attempt ran nothing" // another front end may have run the load
 )
 
 // rejection returns the error for a statement that the server itself rejects.
@@ -134,10 +134,10 @@
 	return newRejection(nothingRan, s.config.Settings.Limits.MaxRetryAfterMS)
 }
 
-// rejectionOfTry returns the error for a try of a load that the server itself rejects, if
+// rejectionOfAttempt returns the error for an attempt at a load that the server itself rejects, if
 // other front ends may have run the load.
-func (s *Server) rejectionOfTry() *Error {
-	return newRejection(tryRanNothing, s.config.Settings.Limits.MaxRetryAfterMS)
+func (s *Server) rejectionOfAttempt() *Error {
+	return newRejection(attemptRanNothing, s.config.Settings.Limits.MaxRetryAfterMS)
 }
 
 func rejectionAfter(retryAfterMS float64) *Error { return newRejection(nothingRan, retryAfterMS) }
--- a/internal/mysql/waiting_test.go
+++ b/internal/mysql/waiting_test.go
@@ -12,7 +12,7 @@
 )
 
 // TestWaitingRepeatsAreAnsweredAtShutdown guards against repeats without an answer: they
-// waited for a load at another front end when their own one was told to end, and were not
+// waited for a load at another front end when their own one received SIGTERM, and were not
 // answered before the platform killed it.
 func TestWaitingRepeatsAreAnsweredAtShutdown(t *testing.T) {
 	const (
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -148,7 +148,7 @@
 }
 
 // votesOnLeases reports whether this front end has the records of the loads that the
-// fleet has run. Until then another front end that restarts takes a vote from the fleet.
+// fleet has run. Until then the restart of another one takes a second vote from the fleet.
 func (a *adminController) votesOnLeases() bool {
 	return a.frontEnd.cluster == nil || a.frontEnd.cluster.VotesOnLeases()
 }
