mysql: a cancelled attempt prepares nothing on a session that has just connected

Cause: an attempt whose session is logging in when its engine moves is cancelled, but only the statement itself was checked for that: USE and prepare were sent before.

Change: the check comes first.

Evidence: TestNothingBeginsAtAnOldAddress, logging in, prepared: before, 1 statement prepared at the old server; here none.

--- a/internal/mysql/moved_test.go
+++ b/internal/mysql/moved_test.go
@@ -97,6 +97,22 @@
 		}
 		d.wantLoadsAt(d.to, d.from)
 	})
+	t.Run("session that is logging in, prepared", func(t *testing.T) {
+		d := deployMovingEngine(t, 1)
+		d.from.SetLoginDelay(func(uint32) time.Duration { return slowMS * time.Millisecond })
+		client := mysql.NewRawClient(t, d.cfg.Listen, "app", "secret")
+		answered := make(chan error)
+		go func() { answered <- client.PrepareAndExecute("INSERT INTO trips_1.connecting VALUES (1)") }()
+		testprocess.Until(t, "the session", func() bool { return d.from.Connections() == 1 })
+		d.reloadWith(d.to.Addr, "")
+		if err := <-answered; err != nil {
+			t.Errorf("the load of the session that was logging in: %v, want an answer from the new server", err)
+		}
+		testprocess.Until(t, "the session to end", func() bool { return d.from.Connections() == 0 })
+		if prepares, _ := d.from.Counts(); prepares > 0 {
+			t.Errorf("%d statements were prepared at the old server", prepares)
+		}
+	})
 	t.Run("moves while it drains, and back", func(t *testing.T) {
 		d := deployMovingEngine(t, 2)
 		d.from.SetBehavior(slow)
--- a/internal/mysql/session.go
+++ b/internal/mysql/session.go
@@ -145,6 +145,9 @@
 // example because the connection broke.
 func (s *session) runStatement(a *attempt, maxResultBytes int, now func() float64) (*Result, error) {
 	statement := a.statement
+	if a.isCancelled() { // while the session was connecting: the engine may have moved since
+		return nil, notWrittenError{errNotWritten}
+	}
 	engineErr, err := s.selectDatabase(statement.Database)
 	if err != nil {
 		return nil, notWrittenError{err}
