mysql: a soak of both modes under restarts, kills, moving engines, late logins and crowds

It checks that each statement is answered, no load runs twice, none is called OK or refused wrongly, none is interrupted, nothing begins at a server left 0.5 s before, and readiness within 10 s; with replicated state 2,000 earlier loads are repeated at the end.

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 SEEDS = 50
 soak:
 	go test -count=1 ./internal/acceptance -run 'TestSoak$$' -v -soakseeds $(SEEDS) -seed $(SEED) -timeout $(M)m
-	go test -count=1 ./internal/mysql -run SoakOfLoads -v -soakseeds $(SEEDS) -seed $(SEED) -timeout $(M)m
+	go test -count=1 ./internal/mysql -run 'SoakOfLoads|SoakUnderDisruptions' -v -soakseeds $(SEEDS) -seed $(SEED) -timeout $(M)m
 
 # The bench's quick days on both deployments in turn: the simulator, then real sockets.
 # Nothing heavy may run beside. WHY is the entry's note in the journal.
--- a/internal/mysql/fleet_test.go
+++ b/internal/mysql/fleet_test.go
@@ -1,6 +1,7 @@
 package mysql_test
 
 import (
+	"cmp"
 	"database/sql"
 	"encoding/json"
 	"errors"
@@ -81,6 +82,10 @@
 	mutant    *mutanttest.Mutant
 	faults    faultplan.Timeline
 	noDisks   bool // front ends have no state directories
+	maxOpen   int  // limit of open requests of a front end; 0: the default
+	// clusterConfig replaces loadFleetCluster, unless it is empty. Without replicated state
+	// there are no leases.
+	clusterConfig string
 }
 
 // loadFleet is a fleet with the MySQL front end enabled, to which clients send loads
@@ -90,6 +95,8 @@
 	t         *testing.T
 	options   loadFleetOptions
 	engines   []*mysql.FakeEngine
+	cfg       mysql.Config
+	paths     []string  // of the MySQL front ends' files
 	addrs     []string  // of the MySQL front ends
 	databases []*sql.DB // one for each front end
 	answers   []loadAnswer
@@ -122,6 +129,7 @@
 func startLoadFleet(t *testing.T, options loadFleetOptions) *loadFleet {
 	t.Helper()
 	cfg, engines := newConfig(t, 3)
+	cfg.Limits.MaxOpenRequests = options.maxOpen
 	for _, e := range engines {
 		e.SetBehavior(runAtRandomLength(options))
 	}
@@ -131,20 +139,25 @@
 		addrs = append(addrs, cfg.Listen)
 		paths = append(paths, writeConfig(t, &cfg))
 	}
-	f := &loadFleet{t: t, options: options, engines: engines, addrs: addrs, answers: make([]loadAnswer, options.loads)}
+	f := &loadFleet{
+		t: t, options: options, engines: engines, cfg: cfg, paths: paths, addrs: addrs,
+		answers: make([]loadAnswer, options.loads),
+	}
 	f.Fleet = faulttest.Start(t, faulttest.Options{
 		Seed:          options.seed,
 		Size:          options.size,
 		Engines:       1,
 		Mutant:        options.mutant,
 		Durable:       !options.noDisks,
-		ClusterConfig: loadFleetCluster,
+		ClusterConfig: cmp.Or(options.clusterConfig, loadFleetCluster),
 		Args:          func(i int) []string { return []string{"-mysql", paths[i]} },
 	})
 	if _, converged := f.AwaitConvergence(testprocess.WaitTimeout); !converged {
 		t.Fatal("the views of the front ends did not converge after the start")
 	}
-	testprocess.Until(t, "all front ends to vote", f.allVote)
+	if options.clusterConfig == "" {
+		testprocess.Until(t, "all front ends to vote", f.allVote)
+	}
 	f.openDatabases(addrs)
 	return f
 }
--- a/internal/mysql/race_test.go
+++ b/internal/mysql/race_test.go
@@ -51,9 +51,18 @@
 // PrepareAndExecute prepares a statement without parameters and executes it. The response
 // to the prepared statement must be an OK packet.
 func (c *RawClient) PrepareAndExecute(sql string) error {
+	if err := c.SendPrepared(sql); err != nil {
+		return err
+	}
+	return c.ReadResponse()
+}
+
+// SendPrepared prepares a statement without parameters and sends its execution.
+func (c *RawClient) SendPrepared(sql string) error {
 	if err := c.stream.sendCommand(comStmtPrepare, []byte(sql)); err != nil {
 		return err
 	}
+	c.stream.sequence = 1
 	response, err := c.stream.readPacket()
 	if err != nil {
 		return err
@@ -62,10 +71,36 @@
 		return fmt.Errorf("response to prepare: %q", response)
 	}
 	handle := binary.LittleEndian.Uint32(response[1:])
-	if err := c.stream.sendCommand(comStmtExecute, encodeExecute(handle, nil)); err != nil {
-		return err
+	return c.stream.sendCommand(comStmtExecute, encodeExecute(handle, nil))
+}
+
+// Answer is the response to a statement.
+type Answer struct {
+	Code    uint16 // of an error; 0: success
+	Message string
+}
+
+// ReadAnswer reads the response to a statement: an OK packet, an error, or rows.
+func (c *RawClient) ReadAnswer() (Answer, error) {
+	c.stream.sequence = 1
+	payload, err := c.stream.readPacket()
+	if err != nil || len(payload) == 0 || payload[0] == okMark {
+		return Answer{}, err
 	}
-	return c.ReadResponse()
+	const parts = 2 // the columns and the rows, which both end with an EOF packet
+	for ended := 0; ended < parts; {
+		if isError(payload) {
+			failure := parseError(payload)
+			return Answer{failure.Code, failure.Message}, nil
+		}
+		if payload, err = c.stream.readPacket(); err != nil {
+			return Answer{}, err
+		}
+		if isEOF(payload) {
+			ended++
+		}
+	}
+	return Answer{}, nil
 }
 
 // ReadResponse reads the response to a command, which must be an OK packet.
--- a/internal/mysql/restart_test.go
+++ b/internal/mysql/restart_test.go
@@ -38,7 +38,7 @@
 	})
 }
 
-// runsTwice returns the number of statements that engines ran more than once.
+// runsTwice returns the number of loads that engines ran more than once.
 func (f *loadFleet) runsTwice() (twice int) {
 	runs := map[string]int{}
 	for _, engine := range f.engines {
@@ -46,8 +46,8 @@
 			runs[statement] += times
 		}
 	}
-	for _, times := range runs {
-		if times > 1 {
+	for load := range f.options.loads {
+		if runs[loadStatement(load)] > 1 {
 			twice++
 		}
 	}
