--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -11,6 +11,7 @@
 var cases = map[string]func(*rig.Rig) string{
 	"function": playFunction,
 	"kill":     playKill,
+	"poll":     playPoll,
 	"order":    playOrder,
 	"database": playDatabase,
 	"override": playOverride,
