--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -13,8 +13,6 @@
 	"kill":     playKill,
 	"poll":     playPoll,
 	"order":    playOrder,
-	"database": playDatabase,
-	"override": playOverride,
 	"quorum":   playQuorum,
 }
 
--- a/review/standin2/my/engine.go
+++ b/review/standin2/my/engine.go
@@ -36,7 +36,6 @@
 	conns    map[uint32]*engineConn
 	lastID   uint32
 	runs     []*Run
-	kills    []string
 	stopped  chan struct{}
 }
 
@@ -93,15 +92,6 @@
 	e.conns = map[uint32]*engineConn{}
 }
 
-// CloseConnection closes one connection, as wait_timeout does.
-func (e *Engine) CloseConnection(id uint32) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if c := e.conns[id]; c != nil {
-		_ = c.p.conn.Close()
-	}
-}
-
 // Runs returns the runs of statements that contain a text.
 func (e *Engine) Runs(text string) (list []Run) {
 	e.mu.Lock()
@@ -114,13 +104,6 @@
 	return list
 }
 
-// Kills returns the KILL QUERY commands.
-func (e *Engine) Kills() []string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return append([]string{}, e.kills...)
-}
-
 func (e *Engine) serve(conn net.Conn, stopped chan struct{}) {
 	defer func() { _ = conn.Close() }()
 	e.mu.Lock()
@@ -224,7 +207,6 @@
 func (e *Engine) killQuery(c *engineConn, id uint32) error {
 	e.mu.Lock()
 	target := e.conns[id]
-	e.kills = append(e.kills, fmt.Sprintf("KILL QUERY %d", id))
 	if target != nil {
 		select {
 		case target.kill <- struct{}{}:
--- a/review/standin2/quorum.go
+++ b/review/standin2/quorum.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"syscall"
 	"time"
 
@@ -27,8 +26,6 @@
 	return body
 }
 
-func (f *frontEnd) votes() bool { return strings.Contains(f.state(), `"votes":true`) }
-
 // ready reports whether GET /control/ready answers with 200.
 func (f *frontEnd) ready() bool {
 	status, _, err := rig.HTTP("GET", "http://"+f.control+"/control/ready", time.Second)
--- a/review/standin2/rig/rig.go
+++ b/review/standin2/rig/rig.go
@@ -10,8 +10,10 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -32,54 +34,52 @@
 	Trouble bool   // false: play the case without its disruption
 	started time.Time
 
+	ending    sync.Once
 	mu        sync.Mutex
 	record    *os.File
 	processes []*Process
 }
 
-// stop ends a case that can't run.
-type stop struct{ reason string }
+// timeLimit is the longest time of a case.
+const timeLimit = 110 * time.Second
 
-// Main plays a case and exits with its code. caseDir is the folder of the case.
+// Main plays a case and exits with its code. caseDir is the folder of the case. Whatever ends
+// the case, all processes that it started are ended.
 func Main(root, caseDir string, play func(*Rig) (broken string)) {
-	os.Exit(run(root, caseDir, play))
-}
-
-func run(root, caseDir string, play func(*Rig) string) (code int) {
 	record, err := os.Create(filepath.Join(caseDir, "record.txt"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return CannotRun
+		os.Exit(CannotRun)
 	}
-	defer func() { _ = record.Close() }()
 	tmp, err := os.MkdirTemp("", "review-case-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return CannotRun
+		os.Exit(CannotRun)
 	}
-	defer func() { _ = os.RemoveAll(tmp) }()
 	r := &Rig{Root: root, Tmp: tmp, Trouble: os.Getenv("TROUBLE") != "0", started: time.Now(), record: record}
-	defer r.endAll()
-	defer func() {
-		if failure := recover(); failure != nil {
-			s, ok := failure.(stop)
-			if !ok {
-				s = stop{fmt.Sprint("panic: ", failure)}
-			}
-			r.Logf("the case could not run: %s", s.reason)
-			r.logProcesses()
-			code = CannotRun
-		}
-	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() { r.Fail("got %v", <-signals) }()
+	time.AfterFunc(timeLimit, func() { r.Fail("it took longer than %v", timeLimit) })
 	r.Logf("disruption: %v", r.Trouble)
 	if broken := play(r); broken != "" {
 		r.Logf("BROKEN: %s", broken)
-		r.logProcesses()
-		return Broken
+		r.exit(Broken)
 	}
 	r.Logf("the rule held")
-	r.logProcesses()
-	return Held
+	r.exit(Held)
+}
+
+// exit ends the processes and the program.
+func (r *Rig) exit(code int) {
+	r.ending.Do(func() {
+		r.endAll()
+		r.logProcesses()
+		_ = os.RemoveAll(r.Tmp)
+		_ = r.record.Close()
+		os.Exit(code)
+	})
+	select {} // another goroutine ends the program
 }
 
 // Logf writes a line to the record and to standard output.
@@ -92,7 +92,10 @@
 }
 
 // Fail ends the case: it can't run.
-func (r *Rig) Fail(format string, args ...any) { panic(stop{fmt.Sprintf(format, args...)}) }
+func (r *Rig) Fail(format string, args ...any) {
+	r.Logf("the case could not run: %s", fmt.Sprintf(format, args...))
+	r.exit(CannotRun)
+}
 
 // Check ends the case if there is an error.
 func (r *Rig) Check(err error) {
@@ -217,8 +220,15 @@
 	return string(text)
 }
 
+// all returns the processes that were started.
+func (r *Rig) all() []*Process {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.processes)
+}
+
 func (r *Rig) endAll() {
-	for _, p := range r.processes {
+	for _, p := range r.all() {
 		if p.Running() {
 			_ = p.cmd.Process.Signal(syscall.SIGCONT)
 			_ = p.cmd.Process.Kill()
@@ -229,7 +239,7 @@
 
 // logProcesses adds the logs of the processes to the record, without the long counters.
 func (r *Rig) logProcesses() {
-	for _, p := range r.processes {
+	for _, p := range r.all() {
 		r.Logf("log of front end %s, process %d:", p.Name, p.cmd.Process.Pid)
 		for line := range strings.SplitSeq(strings.TrimSpace(p.Log()), "\n") {
 			r.mu.Lock()
