httpfront: a poll path that no response has given is unknown

Callers saw: one client calls page 1 of its own running load; when the load ends, the process panics (index out of range) and the loads of all other clients get no answer. A call of a path that was not given yet also disconnected the client that waited, and DELETE cancelled its request.

Cause: handlePoll compared the page's number with the result only if there was one, and kept any other number in the exchange, where nextResponse used it as an index later.

Change: an exchange counts the chunks whose paths its responses have given. A call of any other path, or of a path in another spelling ("00"), gets 404 and changes nothing.

TestWrongPollsInEachState plays 5 methods, 17 page numbers and 11 states of the request; before, it panics with "index out of range [3] with length 3". TestWrongPollEndsNoOtherRequest plays a program: before, such calls got 200 and another client's request was lost.

--- a/internal/httpfront/connection.go
+++ b/internal/httpfront/connection.go
@@ -184,7 +184,7 @@
 		ex.detach()
 		switch {
 		case ex.completed:
-		case ex.pollPathSent:
+		case ex.pollPathsSent > 0:
 			s.clientDisconnected(ex)
 		default:
 			s.abandon(ex)
--- a/internal/httpfront/exchange.go
+++ b/internal/httpfront/exchange.go
@@ -28,7 +28,7 @@
 	chunks        [][][]byte // the result's pages, grouped by response; nil unless served
 	errorResponse response   // set if completed and not served
 
-	pollPathSent       bool
+	pollPathsSent      int         // chunks up to the last one whose poll path was sent; 0: none
 	pollPathConnection *connection // on which the poll path was last sent; nil once polled
 	clientDisconnected bool        // the client's connection has closed and it has not polled since
 	pollDueMS          float64     // if the client has not polled by then, it is not expected to
@@ -45,6 +45,13 @@
 	return fmt.Sprintf("%s%s/%d", pollPrefix, ex.id, chunk)
 }
 
+// givePollPath returns the path of a chunk for a response to the client, which may call it
+// from then on.
+func (ex *exchange) givePollPath(chunk int) string {
+	ex.pollPathsSent = max(ex.pollPathsSent, chunk+1)
+	return ex.pollPath(chunk)
+}
+
 // attach makes a connection wait for an exchange's response. If no response is
 // available within pollAfterMS, the client is sent a poll path.
 func (s *Server) attach(c *connection, ex *exchange, chunk int) {
@@ -69,12 +76,12 @@
 	}
 	c := ex.waiting
 	ex.waiting = nil
-	ex.pollPathSent = true
+	path := ex.givePollPath(0)
 	ex.pollDueMS = s.loop.Now() + pollTimeoutMS
 	ex.pollPathConnection = c
 	c.pollPathExchange = ex
 	s.Counters.PollPathsSent++
-	s.respond(c, &response{status: 200, pollPath: ex.pollPath(0)})
+	s.respond(c, &response{status: 200, pollPath: path})
 }
 
 // handleResponse stores the final response of the event loop and delivers it to the
@@ -138,7 +145,7 @@
 	c := ex.waiting
 	ex.waiting = nil
 	s.respond(c, ex.nextResponse())
-	if ex.pollPathSent {
+	if ex.pollPathsSent > 0 {
 		s.retain(ex)
 		return
 	}
@@ -152,8 +159,7 @@
 	}
 	r := &response{status: 200, pages: ex.chunks[ex.nextChunk]}
 	if ex.nextChunk+1 < len(ex.chunks) {
-		r.pollPath = ex.pollPath(ex.nextChunk + 1)
-		ex.pollPathSent = true
+		r.pollPath = ex.givePollPath(ex.nextChunk + 1)
 	}
 	return r
 }
--- a/internal/httpfront/routes.go
+++ b/internal/httpfront/routes.go
@@ -214,12 +214,11 @@
 }
 
 // handlePoll handles a message to a poll path: GET polls for a chunk of the result,
-// DELETE cancels the request.
+// DELETE cancels the request. A path that no response has given is unknown, and calling
+// it has no effect on the request that it names.
 func (s *Server) handlePoll(c *connection, m *request) {
-	id, number, _ := strings.Cut(strings.TrimPrefix(m.path, pollPrefix), "/")
-	chunk, err := parseDigits(number)
-	ex := s.exchanges[id]
-	if err != nil || ex == nil || ex.completed && ex.chunks != nil && chunk >= len(ex.chunks) {
+	ex, chunk := s.findPollPath(m.path)
+	if ex == nil {
 		s.reject(c, &requestError{404, "no such result"})
 		return
 	}
@@ -235,6 +234,18 @@
 	}
 }
 
+// findPollPath returns the exchange and the chunk of a poll path, or nil if no response
+// has given the path.
+func (s *Server) findPollPath(path string) (ex *exchange, chunk int) {
+	id, number, _ := strings.Cut(strings.TrimPrefix(path, pollPrefix), "/")
+	ex = s.exchanges[id]
+	chunk, err := parseDigits(number)
+	if ex == nil || err != nil || chunk >= ex.pollPathsSent || path != ex.pollPath(chunk) {
+		return nil, 0
+	}
+	return ex, chunk
+}
+
 func (s *Server) pollResult(c *connection, ex *exchange, chunk int) {
 	// A client that polls again on a new connection has lost its previous one.
 	s.disconnectWaiting(ex)
