mysql: a load takes its place in the order of its key when it is read

Callers saw: one datagram between two front ends is lost, and of two loads with ids and one order key, sent 100 ms apart to one front end, the later one runs first. Both are answered with success, and the table keeps the older value.

Cause: a load with an id reached the dispatcher, which keeps the order of a key, only when its lease was granted. So the order was that of the grants, and a load without an id, which needs no lease, overtook it as well.

Change: in classes that keep order, each statement takes its place when it is read, before anything is waited for. It is submitted once its lease is granted and all before it have been submitted or answered.

--- a/internal/mysql/doc.go
+++ b/internal/mysql/doc.go
@@ -13,6 +13,7 @@
 //	submit.go      submitting statements to the event loop, and their outcomes
 //	loads.go       loads with an id: repeats get the outcome of the first run
 //	leases.go      leases, which extend this to all front ends
+//	keyorder.go    the order of statements with one order key until they are submitted
 //	counters.go    counters of the server and the pool
 //
 // Statements and configuration:
--- a/internal/mysql/loads.go
+++ b/internal/mysql/loads.go
@@ -101,18 +101,19 @@
 		return
 	}
 	load := s.addLoad(c, name, fingerprint)
-	finish := func(o outcome) { s.finishLoad(name, load, o, done) }
+	turn := s.takeTurn(t) // before anything is waited for
+	u := submission{client: c, load: load, statement: statement, info: info, options: t}
+	finish := func(o outcome) {
+		s.keyOrder.leave(turn)
+		s.finishLoad(name, load, o, done)
+	}
 	if s.Leases == nil {
-		s.start(c, statement, info, t, finish)
+		s.startInTurn(turn, u, finish)
 		return
 	}
 	s.acquireLease(name, fingerprint, t, finish, func(remainingMS float64, done func(outcome)) {
-		if load.waitingClients == 0 { // all clients have disconnected: the load is not started
-			done(outcome{err: s.rejection()})
-			return
-		}
-		t.deadlineMS = remainingMS
-		s.start(c, statement, info, t, done)
+		u.options.deadlineMS = remainingMS
+		s.startInTurn(turn, u, done)
 	})
 }
 
--- a/internal/mysql/server.go
+++ b/internal/mysql/server.go
@@ -60,6 +60,7 @@
 	loadOrder        []string               // keys of loads, oldest first
 	released         map[string]bool        // keys of loads whose last run had no effect
 	releasedOrder    []string               // keys of released, oldest first
+	keyOrder         keyOrder
 	lastConnectionID uint32
 	lastRequestID    uint64
 
@@ -76,6 +77,7 @@
 		clients:  map[*client]bool{},
 		loads:    map[string]*loadRecord{},
 		released: map[string]bool{},
+		keyOrder: newKeyOrder(),
 	}
 }
 
--- a/internal/mysql/shutdown.go
+++ b/internal/mysql/shutdown.go
@@ -35,11 +35,12 @@
 }
 
 // ReachShutdownDeadline must be called after all open statements were answered, when the
-// platform is about to kill the process. Statements that wait for a lease, or for a load at
-// another front end, are answered. Those that still arrive are rejected, and idle connections
+// platform is about to kill the process. Statements that wait for a lease, for a load at
+// another front end, or for their turn are answered. Those that still arrive are rejected, and idle connections
 // are not waited for.
 func (s *Server) ReachShutdownDeadline() {
 	s.shutdownDeadlinePassed = true
+	s.keyOrder.beginAll()
 	if s.Leases != nil {
 		s.Leases.ExpireRequests()
 	}
--- a/internal/mysql/submit.go
+++ b/internal/mysql/submit.go
@@ -41,7 +41,7 @@
 		done(outcome{err: s.rejection()})
 		return
 	}
-	s.start(c, statement, info, options, done)
+	s.startInTurn(s.takeTurn(options), submission{client: c, statement: statement, info: info, options: options}, done)
 }
 
 // hasCapacity reports whether the server accepts another request.
@@ -49,28 +49,50 @@
 	return !s.shutdownDeadlinePassed && s.loop.OpenRequests() < s.config.Limits.MaxOpenRequests
 }
 
+// submission is a statement that is to be submitted to the event loop.
+type submission struct {
+	client    *client
+	load      *loadRecord // nil unless the statement is a load with an id
+	statement *Statement
+	info      *statementInfo
+	options   requestOptions
+}
+
+// isAwaited reports whether a connected client waits for the outcome.
+func (u *submission) isAwaited() bool {
+	if u.load != nil {
+		return u.load.waitingClients > 0
+	}
+	return !u.client.disconnected
+}
+
+// setRequestID records the request that a disconnect of the last client abandons or detaches.
+func (u *submission) setRequestID(id string) {
+	switch {
+	case u.load == nil:
+		u.client.requestID = id
+	case u.client.load != nil:
+		u.client.load.requestID = id
+	}
+}
+
 // start submits a statement to the event loop as a request.
-func (s *Server) start(c *client, statement *Statement, info *statementInfo, t requestOptions, done func(outcome)) {
+func (s *Server) start(u submission, done func(outcome)) {
 	s.lastRequestID++
 	now := s.loop.Now()
 	request := dispatch.Request{
 		ID:           fmt.Sprintf("q%d", s.lastRequestID),
-		Class:        t.class,
-		Key:          t.orderKey,
+		Class:        u.options.class,
+		Key:          u.options.orderKey,
 		ArrivedAtMS:  now,
-		DeadlineAtMS: now + t.deadlineMS,
-		WorkMS:       t.workMS,
-		MemoryMB:     t.memoryMB,
-		Dataset:      info.tableGroup,
-	}
-	switch {
-	case t.loadID == "":
-		c.requestID = request.ID
-	case c.load != nil:
-		c.load.requestID = request.ID
+		DeadlineAtMS: now + u.options.deadlineMS,
+		WorkMS:       u.options.workMS,
+		MemoryMB:     u.options.memoryMB,
+		Dataset:      u.info.tableGroup,
 	}
-	isIdempotent := s.class(t).Idempotency == idempotent
-	err := s.loop.Submit(request, statement, func(response dispatch.Response, result any) {
+	u.setRequestID(request.ID)
+	isIdempotent := s.class(u.options).Idempotency == idempotent
+	err := s.loop.Submit(request, u.statement, func(response dispatch.Response, result any) {
 		done(s.finalOutcome(response, result, isIdempotent))
 	})
 	if err != nil {
