mysql: a load with a repeat is detached when all its clients have left

Callers saw: nothing.

Cause: the request of a load was recorded by way of the client that had sent it first. If that one left while the load waited for its lease, and a repeat waited on, the request was recorded nowhere, so a later disconnect of the repeat's client detached nothing.

Change: the request is recorded in the load itself.

Evidence: found by reading. TestLoadOfARepeatIsDetached: before, it detached no request.

--- a/internal/mysql/keyorder_test.go
+++ b/internal/mysql/keyorder_test.go
@@ -19,6 +19,7 @@
 	timers    []orderTimer
 	submitted []*orderRequest
 	abandoned map[string]bool
+	detached  []string
 }
 
 type orderTimer struct {
@@ -34,7 +35,7 @@
 
 func (l *orderLoop) Now() float64             { return l.now }
 func (l *orderLoop) OpenRequests() int        { return 0 }
-func (l *orderLoop) DetachRequest(string)     {}
+func (l *orderLoop) DetachRequest(id string)  { l.detached = append(l.detached, id) }
 func (l *orderLoop) AbandonRequest(id string) { l.abandoned[id] = true }
 func (l *orderLoop) After(ms float64, f func()) {
 	l.timers = append(l.timers, orderTimer{l.now + ms, f})
@@ -295,3 +296,21 @@
 	}
 	p.check()
 }
+
+// TestLoadOfARepeatIsDetached guards against attempts for a load that no client waits for any
+// more: the client of the first attempt had left while the load waited for its lease, so the
+// request was not known when the client of the repeat left too.
+func TestLoadOfARepeatIsDetached(t *testing.T) {
+	p := newOrderPlay(t, 1, true)
+	const load = "INSERT /* dewhill: id=a key=k */ INTO t_1.t VALUES (1)"
+	first, repeat := p.send(load, "k"), p.send(load, "k")
+	first.client.handleDisconnect()
+	p.leases.decide("app\x00a", lease.Granted)
+	if len(p.loop.submitted) != 1 {
+		t.Fatalf("submitted %d requests, want that of the load, for whose repeat a client waits", len(p.loop.submitted))
+	}
+	repeat.client.handleDisconnect()
+	if len(p.loop.detached) != 1 || p.loop.detached[0] != p.loop.submitted[0].ID {
+		t.Errorf("detached %q after all clients have left, want the request %q", p.loop.detached, p.loop.submitted[0].ID)
+	}
+}
--- a/internal/mysql/submit.go
+++ b/internal/mysql/submit.go
@@ -68,12 +68,11 @@
 
 // setRequestID records the request that a disconnect of the last client abandons or detaches.
 func (u *submission) setRequestID(id string) {
-	switch {
-	case u.load == nil:
-		u.client.requestID = id
-	case u.client.load != nil:
-		u.client.load.requestID = id
+	if u.load != nil {
+		u.load.requestID = id
+		return
 	}
+	u.client.requestID = id
 }
 
 // start submits a statement to the event loop as a request.
