mysql: a statement without a database never runs in that of another client

Callers saw: a client of an account without a database names a table without one, and gets rows of the database that another client had selected.

Cause: sessions to engines are shared. The database was changed for statements that have one, and left as it was for those that have none.

Change: a statement without a database runs only on a session that never had one, as a database can't be deselected. At the limit of sessions the new one replaces an idle one.

--- /dev/null
+++ b/internal/mysql/database_test.go
@@ -0,0 +1,80 @@
+package mysql_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dewhill/internal/mysql"
+)
+
+// TestStatementsRunInTheDatabaseOfTheirClient guards against rows of another client's
+// database: a statement of a client without a database ran in the one that the shared session
+// had been left with. Clients with a database, with another, with one that does not exist and
+// without any send statements, as text and prepared, while the engine closes connections.
+func TestStatementsRunInTheDatabaseOfTheirClient(t *testing.T) {
+	const (
+		statements = 60
+		closeEvery = 150 * time.Millisecond
+		statedIn   = "database of the client: "
+	)
+	for _, perEngine := range []int{1, 4} {
+		t.Run(fmt.Sprintf("%d sessions", perEngine), func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t, 1, func(c *mysql.Config) { c.Limits.ConnectionsPerEngine = perEngine })
+			engine := d.engines[0]
+			stop := make(chan struct{})
+			var closing, clients sync.WaitGroup
+			closing.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(closeEvery):
+						engine.CloseAll()
+					}
+				}
+			})
+			for n, database := range []string{"", "", "stock", "audit", "missing"} {
+				client := mysql.NewRawClient(t, d.cfg.Listen, "app", "secret")
+				if err := client.SelectDatabase(database); err != nil {
+					t.Fatal(err)
+				}
+				rng := rand.New(rand.NewPCG(*fleetSeed, uint64(n)))
+				clients.Go(func() {
+					for k := range statements {
+						sql := fmt.Sprintf("SELECT %d, %d, '%s%s' FROM t", n, k%10, statedIn, database)
+						send := client.Send
+						if rng.IntN(2) == 0 {
+							send = client.SendPrepared
+						}
+						if err := send(sql); err != nil {
+							t.Error(err)
+							return
+						}
+						if _, err := client.ReadAnswer(); err != nil {
+							t.Error(err)
+							return
+						}
+						time.Sleep(time.Duration(rng.IntN(10)) * time.Millisecond)
+					}
+				})
+			}
+			clients.Wait()
+			close(stop)
+			closing.Wait()
+			ran := engine.Databases()
+			if len(ran) < statements/2 {
+				t.Fatalf("%d statements ran, want %d at least", len(ran), statements/2)
+			}
+			for sql, database := range ran {
+				if want := fmt.Sprintf("'%s%s'", statedIn, database); !strings.Contains(sql, want) {
+					t.Errorf("%s ran in the database %q", sql, database)
+				}
+			}
+		})
+	}
+}
--- a/internal/mysql/fakes_test.go
+++ b/internal/mysql/fakes_test.go
@@ -31,6 +31,7 @@
 	kills            int
 	killsSent        int // KILL QUERY commands that were sent, received or not
 	initDatabases    []string
+	databases        map[string]string // in which each statement ran last, or was prepared
 	// behavior is called before each step (prepare, execute or query) with the
 	// statement and returns the action to take instead of the step: "close" (close the
 	// connection), "run-close" (run the statement, then close the connection), "hang"
@@ -50,6 +51,7 @@
 	socket          *fakeSocket
 	stream          *stream
 	killed          chan struct{}
+	database        string
 	statements      map[uint32]string
 	lastStatementID uint32
 }
@@ -57,7 +59,7 @@
 // NewFakeEngine starts an engine on a free loopback port and stops it when the test ends.
 func NewFakeEngine(t testing.TB, id, password string) *FakeEngine {
 	t.Helper()
-	e := &FakeEngine{ID: id, password: password, ran: map[string]int{}, succeeded: map[string]int{}, connections: map[uint32]*fakeConnection{}}
+	e := &FakeEngine{ID: id, password: password, ran: map[string]int{}, succeeded: map[string]int{}, connections: map[uint32]*fakeConnection{}, databases: map[string]string{}}
 	e.Addr = fakes.Listen(t, e.serve)
 	return e
 }
@@ -214,7 +216,8 @@
 		e.mu.Unlock()
 	}()
 	server := &Server{accounts: []Account{{User: "gate", Password: e.password}}}
-	if _, err := server.authenticate(connection.stream, connection.id); err != nil {
+	login, err := server.authenticate(connection.stream, connection.id)
+	if err != nil {
 		var refusal *Error
 		if errors.As(err, &refusal) {
 			connection.stream.queuePacket(refusal.packet())
@@ -222,6 +225,7 @@
 		}
 		return
 	}
+	connection.database = login.database
 	for {
 		connection.stream.sequence = 0
 		p, err := connection.stream.readPacket()
@@ -245,6 +249,11 @@
 		e.mu.Lock()
 		e.initDatabases = append(e.initDatabases, string(argument))
 		e.mu.Unlock()
+		if strings.HasPrefix(string(argument), "missing") {
+			connection.stream.queuePacket((&Error{1049, "42000", "Unknown database"}).packet())
+			return true
+		}
+		connection.database = string(argument)
 		connection.stream.queuePacket(okPacket(0, 0))
 	case comQuery:
 		sql := string(argument)
@@ -254,12 +263,14 @@
 			connection.stream.queuePacket(okPacket(0, 0))
 			return true
 		}
+		e.recordDatabase(connection, sql)
 		return e.run(connection, "query", sql, nil)
 	case comStmtPrepare:
 		sql := string(argument)
 		if action := e.actionFor("prepare", sql); action != "" {
 			return e.act(connection, "prepare", action, sql, nil)
 		}
+		e.recordDatabase(connection, sql)
 		e.mu.Lock()
 		e.prepares++
 		e.mu.Unlock()
@@ -296,6 +307,19 @@
 	return true
 }
 
+func (e *FakeEngine) recordDatabase(connection *fakeConnection, sql string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.databases[sql] = connection.database
+}
+
+// Databases returns the database in which each statement ran last, or was prepared.
+func (e *FakeEngine) Databases() map[string]string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.databases)
+}
+
 func (e *FakeEngine) actionFor(step, sql string) string {
 	e.mu.Lock()
 	behavior := e.behavior
--- a/internal/mysql/pool.go
+++ b/internal/mysql/pool.go
@@ -183,30 +183,41 @@
 	p.loop.AttemptEnded(dispatch.AttemptEnded{RequestID: start.RequestID, Attempt: start.Attempt, Result: result}, nil)
 }
 
-// selectSession returns an idle session, preferably one that has the statement's
-// handle, or a new session. It returns nil if all sessions are busy and their
-// number has reached the limit for one engine.
+// selectSession returns an idle session that suits the statement, or a new session. If the
+// number of sessions has reached the limit for one engine, the new one replaces an idle one;
+// selectSession returns nil if all are busy.
 func (p *Pool) selectSession(e *engine, statement *Statement) *session {
+	if s := e.idleSession(statement); s != nil {
+		return s
+	}
+	if len(e.sessions) >= p.limits.ConnectionsPerEngine {
+		unsuitable := e.idleSession(nil)
+		if unsuitable == nil {
+			return nil
+		}
+		p.closeSession(unsuitable)
+	}
+	s := newSession(e)
+	e.sessions = append(e.sessions, s)
+	go p.serveSession(s)
+	return s
+}
+
+// idleSession returns an idle session that suits the statement, preferably one that has its
+// handle, else one with its database; nil if there is none. Without a statement it returns any.
+func (e *engine) idleSession(statement *Statement) *session {
 	var best *session
+	bestRank := 0
 	for _, s := range e.sessions {
 		if s.busy || s.closed {
 			continue
 		}
-		_, hasHandle := s.handles[statementKey(statement)]
-		if best == nil || hasHandle {
+		if rank := s.rankFor(statement); rank > bestRank {
 			best = s
+			bestRank = rank
 		}
 	}
-	if best != nil {
-		return best
-	}
-	if len(e.sessions) >= p.limits.ConnectionsPerEngine {
-		return nil
-	}
-	s := newSession(e)
-	e.sessions = append(e.sessions, s)
-	go p.serveSession(s)
-	return s
+	return best
 }
 
 // SetPriority does nothing, because MySQL has no priorities.
--- a/internal/mysql/race_test.go
+++ b/internal/mysql/race_test.go
@@ -45,6 +45,14 @@
 	return err
 }
 
+// SelectDatabase selects the client's database.
+func (c *RawClient) SelectDatabase(name string) error {
+	if err := c.stream.sendCommand(comInitDB, []byte(name)); err != nil {
+		return err
+	}
+	return c.ReadResponse()
+}
+
 // AwaitGreeting waits until the greeting has arrived, which LogIn then reads.
 func (c *RawClient) AwaitGreeting() error { return c.stream.buffer.FillTo(headerBytes) }
 
--- a/internal/mysql/session.go
+++ b/internal/mysql/session.go
@@ -60,6 +60,31 @@
 	return !s.engine.removed && !s.engine.draining() && s.endpoint.sameServer(&s.engine.Engine)
 }
 
+// rankFor returns how well an idle session suits a statement; 0: not at all. A database that was
+// selected once can't be deselected, so a statement without one needs a session that never
+// had one: it would get rows of another client's database.
+func (s *session) rankFor(statement *Statement) int {
+	const (
+		suits = iota + 1
+		hasDatabase
+		hasHandle
+	)
+	if statement == nil {
+		return suits
+	}
+	_, prepared := s.handles[statementKey(statement)]
+	switch {
+	case statement.Database == "" && s.database != "":
+		return 0
+	case prepared:
+		return hasHandle
+	case statement.Database == s.database:
+		return hasDatabase
+	default:
+		return suits
+	}
+}
+
 // interrupt closes the connection of a session that runs a statement. The session's
 // goroutine then reports the end of the attempt.
 func (s *session) interrupt() {
@@ -183,7 +208,7 @@
 }
 
 // selectDatabase changes the session's database if necessary. It returns the
-// engine's error packet as engineErr.
+// engine's error packet as engineErr. A session with a database gets no statement without one.
 func (s *session) selectDatabase(database string) (engineErr *Error, err error) {
 	if database == s.database || database == "" {
 		return nil, nil
