mysql: tests that run side by side set the driver's logger once

Cause: openDatabase set a global of the driver in each test; two parallel subtests of TestKillReachesNoOtherClientAfterARestart raced on it under -race (the test's own race, none in the product). Change: it is set once for all tests.

--- a/internal/mysql/fleet_test.go
+++ b/internal/mysql/fleet_test.go
@@ -224,7 +224,7 @@
 
 func (f *loadFleet) openDatabases(addrs []string) {
 	f.t.Helper()
-	if err := driver.SetLogger(&driver.NopLogger{}); err != nil {
+	if err := silenceDriver(); err != nil {
 		f.t.Fatal(err)
 	}
 	for _, addr := range addrs {
--- a/internal/mysql/harness_test.go
+++ b/internal/mysql/harness_test.go
@@ -93,14 +93,17 @@
 	}
 }
 
+// silenceDriver turns off the log of the driver, which all tests share.
+var silenceDriver = sync.OnceValue(func() error { return driver.SetLogger(&driver.NopLogger{}) })
+
 // openDatabase opens a database through a front end and waits until a login succeeds.
 func openDatabase(t *testing.T, dsn string) *sql.DB {
 	t.Helper()
-	db, err := sql.Open("mysql", dsn)
-	if err != nil {
+	if err := silenceDriver(); err != nil {
 		t.Fatal(err)
 	}
-	if err := driver.SetLogger(&driver.NopLogger{}); err != nil {
+	db, err := sql.Open("mysql", dsn)
+	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = db.Close() })
