mysql: white space around a load does not make its marked retry another load

Callers saw: a retry marked with retry=yes got 1231 (its id was given to another statement) if the text of the load began or ended with white space.

Cause: stripComments removed white space around the text only where a hint marks a retry, so the fingerprints of the load and of its retry differed.

Change: it is removed from both. The engine gets the text as it came.

Evidence: TestWhiteSpaceDoesNotMakeAnotherLoad: before, the retries of all four loads had another fingerprint; TestMarkedRetryHasTheFingerprintOfItsLoad passes before and after.

--- a/internal/mysql/statement.go
+++ b/internal/mysql/statement.go
@@ -20,7 +20,7 @@
 	table           string // first table named in the statement
 	tableGroup      int
 	withoutComments string
-	withoutRetry    string // the text without the hint that marks a retry
+	withoutRetry    string // the text without the hint that marks a retry and white space around it
 	hints           map[string]string
 	hasEngineText   bool // has an executable comment, which is text for the engine only
 	scope           writeScope
@@ -105,10 +105,7 @@
 		rest = append(rest, token)
 	}
 	s.withoutComments = strings.TrimSpace(text.String())
-	s.withoutRetry = sql
-	if _, marked := s.hints[retryHint]; marked {
-		s.withoutRetry = strings.TrimSpace(withoutRetry.String())
-	}
+	s.withoutRetry = strings.TrimSpace(withoutRetry.String())
 	return rest
 }
 
--- a/internal/mysql/statement_test.go
+++ b/internal/mysql/statement_test.go
@@ -1,6 +1,9 @@
 package mysql
 
-import "testing"
+import (
+	"strings"
+	"testing"
+)
 
 // TestMarkedRetryHasTheFingerprintOfItsLoad guards against a retry that is answered with
 // 1231, that its id was given to another statement, because the hint retry=yes changed its
@@ -31,3 +34,28 @@
 		}
 	}
 }
+
+// TestWhiteSpaceDoesNotMakeAnotherLoad guards against a retry that is answered with 1231, that
+// its id was given to another statement, because the text of the load begins or ends with white
+// space, which only the marked text lost.
+func TestWhiteSpaceDoesNotMakeAnotherLoad(t *testing.T) {
+	fingerprint := func(sql string) string {
+		return fingerprintOf(&Statement{SQL: sql, Database: "trips"}, inspect(sql))
+	}
+	for _, load := range []string{
+		"INSERT INTO t VALUES /* dewhill: id=L7 */ (1)\n",
+		"\r\n\tINSERT INTO t VALUES /* dewhill: id=L7 */ (1)",
+		"  INSERT INTO t VALUES /* dewhill: id=L7 */ (1);  ",
+		"\n/* dewhill: id=L7 */ INSERT INTO t VALUES (1)\n",
+	} {
+		marked := strings.Replace(load, "id=L7", "id=L7 retry=yes", 1)
+		for _, retry := range []string{marked, strings.TrimSpace(marked), strings.TrimSpace(load)} {
+			if fingerprint(retry) != fingerprint(load) {
+				t.Errorf("%q: not the fingerprint of %q", retry, load)
+			}
+		}
+	}
+	if fingerprint("INSERT INTO t VALUES (' 1 ')") == fingerprint("INSERT INTO t VALUES ('1')") {
+		t.Error("white space in a value makes no difference")
+	}
+}
