sqlscan: two minus signs begin a comment only before white space

Callers saw: in "n = n--1 /* dewhill: id=L7 */" the id was dropped without a word, so a repeat of the load ran again.

Cause: the scanner took "--" for a comment in any place. In MySQL one begins only before white space or a control character, or at the end of the text.

Change: the scanner has that rule.

Evidence: TestTwoMinusSignsAreNoComment: before, five of twelve texts and the group of tables were wrong. TestHintsBehindTwoMinusSigns: before, no id and no parameter were found.

--- a/internal/mysql/statement_test.go
+++ b/internal/mysql/statement_test.go
@@ -59,3 +59,12 @@
 		t.Error("white space in a value makes no difference")
 	}
 }
+
+// TestHintsBehindTwoMinusSigns guards against a load whose id is dropped without a word, so
+// that it may run twice: its hint stood behind two minus signs, which are no comment there.
+func TestHintsBehindTwoMinusSigns(t *testing.T) {
+	info := inspect("UPDATE t SET n = n--1 /* dewhill: id=L7 */ WHERE k = ?")
+	if info.err != nil || info.hints["id"] != "L7" || info.params != 1 {
+		t.Errorf("hints %v, %d parameters, error %v; want the id L7 and one parameter", info.hints, info.params, info.err)
+	}
+}
--- a/internal/sqlscan/scan.go
+++ b/internal/sqlscan/scan.go
@@ -47,7 +47,7 @@
 	switch {
 	case first == '\'' || first == '"' || first == '`':
 		return scanQuoted(sql, offset)
-	case first == '#' || strings.HasPrefix(sql[offset:], "--"):
+	case first == '#' || beginsDashComment(sql[offset:]):
 		return scanLineComment(sql, offset)
 	case strings.HasPrefix(sql[offset:], "/*"):
 		return scanBlockComment(sql, offset)
@@ -93,6 +93,13 @@
 	return sql[start:], len(sql)
 }
 
+// beginsDashComment reports whether a text begins with a comment of two minus signs. As in
+// MySQL, white space or a control character must follow them: "n--1" is a subtraction.
+func beginsDashComment(text string) bool {
+	rest, found := strings.CutPrefix(text, "--")
+	return found && (rest == "" || isSpace(rest[0]) || isControl(rest[0]))
+}
+
 func scanLineComment(sql string, offset int) (Token, int) {
 	end := len(sql)
 	if length := strings.IndexByte(sql[offset:], '\n'); length >= 0 {
@@ -120,6 +127,8 @@
 
 func isSpace(c byte) bool { return c == ' ' || c >= '\t' && c <= '\r' }
 
+func isControl(c byte) bool { return c < ' ' || c == 0x7f }
+
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
 
 func isIdentifierByte(c byte) bool {
--- a/internal/sqlscan/scan_test.go
+++ b/internal/sqlscan/scan_test.go
@@ -28,6 +28,39 @@
 	}
 }
 
+// TestTwoMinusSignsAreNoComment guards against hints and tables that go unseen behind two
+// minus signs, which begin a comment only if white space or a control character follows.
+func TestTwoMinusSignsAreNoComment(t *testing.T) {
+	for sql, want := range map[string]string{
+		"n--1 /* a */ FROM t":   " a ",
+		"n--a /* b */":          " b ",
+		"n--(1) /* c */":        " c ",
+		"n --/* d */ 1":         " d ",
+		"n---1 /* e */":         " e ",
+		"n -- 1 /* f */":        " 1 /* f */",
+		"n --\t/* g */":         "\t/* g */",
+		"n --\n/* h */":         "",
+		"n --":                  "",
+		"n --\x00/* i */":       "\x00/* i */",
+		"n # /* j */":           " /* j */",
+		"'--' /* k */ FROM `t`": " k ",
+	} {
+		comment := "none"
+		for _, token := range Scan(sql) {
+			if token.Kind == Comment {
+				comment = token.Text
+				break
+			}
+		}
+		if comment != want {
+			t.Errorf("%q: first comment %q, want %q", sql, comment, want)
+		}
+	}
+	if group := TableGroup("SELECT n--1 FROM trips_4.t"); group != 4 {
+		t.Errorf("group %d, want 4", group)
+	}
+}
+
 // TestScanArbitraryText checks that Scan does not panic on any text and returns tokens at
 // increasing offsets within the text.
 func TestScanArbitraryText(t *testing.T) {
