--- a/internal/mysql/database_test.go
+++ b/internal/mysql/database_test.go
@@ -16,11 +16,7 @@
 // had been left with. Clients with a database, with another, with one that does not exist and
 // without any send statements, as text and prepared, while the engine closes connections.
 func TestStatementsRunInTheDatabaseOfTheirClient(t *testing.T) {
-	const (
-		statements = 60
-		closeEvery = 150 * time.Millisecond
-		statedIn   = "database of the client: "
-	)
+	const closeEvery = 150 * time.Millisecond
 	for _, perEngine := range []int{1, 4} {
 		t.Run(fmt.Sprintf("%d sessions", perEngine), func(t *testing.T) {
 			t.Parallel()
@@ -43,38 +39,51 @@
 				if err := client.SelectDatabase(database); err != nil {
 					t.Fatal(err)
 				}
-				rng := rand.New(rand.NewPCG(*fleetSeed, uint64(n)))
-				clients.Go(func() {
-					for k := range statements {
-						sql := fmt.Sprintf("SELECT %d, %d, '%s%s' FROM t", n, k%10, statedIn, database)
-						send := client.Send
-						if rng.IntN(2) == 0 {
-							send = client.SendPrepared
-						}
-						if err := send(sql); err != nil {
-							t.Error(err)
-							return
-						}
-						if _, err := client.ReadAnswer(); err != nil {
-							t.Error(err)
-							return
-						}
-						time.Sleep(time.Duration(rng.IntN(10)) * time.Millisecond)
-					}
-				})
+				clients.Go(func() { sendWithDatabase(t, client, n, database) })
 			}
 			clients.Wait()
 			close(stop)
 			closing.Wait()
-			ran := engine.Databases()
-			if len(ran) < statements/2 {
-				t.Fatalf("%d statements ran, want %d at least", len(ran), statements/2)
-			}
-			for sql, database := range ran {
-				if want := fmt.Sprintf("'%s%s'", statedIn, database); !strings.Contains(sql, want) {
-					t.Errorf("%s ran in the database %q", sql, database)
-				}
-			}
+			checkDatabases(t, engine)
 		})
 	}
 }
+
+const (
+	databaseStatements = 60 // of each client
+	databaseLabel      = "database of the client: "
+)
+
+// sendWithDatabase sends statements that name the client's database in a string.
+func sendWithDatabase(t *testing.T, client *mysql.RawClient, n int, database string) {
+	rng := rand.New(rand.NewPCG(*fleetSeed, uint64(n)))
+	for k := range databaseStatements {
+		sql := fmt.Sprintf("SELECT %d, %d, '%s%s' FROM t", n, k%10, databaseLabel, database)
+		send := client.Send
+		if rng.IntN(2) == 0 {
+			send = client.SendPrepared
+		}
+		err := send(sql)
+		if err == nil {
+			_, err = client.ReadAnswer()
+		}
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		time.Sleep(time.Duration(rng.IntN(10)) * time.Millisecond)
+	}
+}
+
+func checkDatabases(t *testing.T, engine *mysql.FakeEngine) {
+	t.Helper()
+	ran := engine.Databases()
+	if len(ran) < databaseStatements/2 {
+		t.Fatalf("%d statements ran, want %d at least", len(ran), databaseStatements/2)
+	}
+	for sql, database := range ran {
+		if want := fmt.Sprintf("'%s%s'", databaseLabel, database); !strings.Contains(sql, want) {
+			t.Errorf("%s ran in the database %q", sql, database)
+		}
+	}
+}
--- a/internal/mysql/fakes_test.go
+++ b/internal/mysql/fakes_test.go
@@ -246,15 +246,7 @@
 	case comPing:
 		connection.stream.queuePacket(okPacket(0, 0))
 	case comInitDB:
-		e.mu.Lock()
-		e.initDatabases = append(e.initDatabases, string(argument))
-		e.mu.Unlock()
-		if strings.HasPrefix(string(argument), "missing") {
-			connection.stream.queuePacket((&Error{1049, "42000", "Unknown database"}).packet())
-			return true
-		}
-		connection.database = string(argument)
-		connection.stream.queuePacket(okPacket(0, 0))
+		e.initDatabase(connection, string(argument))
 	case comQuery:
 		sql := string(argument)
 		var threadID uint32
@@ -307,6 +299,19 @@
 	return true
 }
 
+// initDatabase selects a connection's database. Databases with the prefix "missing" do not exist.
+func (e *FakeEngine) initDatabase(connection *fakeConnection, name string) {
+	e.mu.Lock()
+	e.initDatabases = append(e.initDatabases, name)
+	e.mu.Unlock()
+	if strings.HasPrefix(name, "missing") {
+		connection.stream.queuePacket((&Error{1049, "42000", "Unknown database"}).packet())
+		return
+	}
+	connection.database = name
+	connection.stream.queuePacket(okPacket(0, 0))
+}
+
 func (e *FakeEngine) recordDatabase(connection *fakeConnection, sql string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/mysql/keyorder.go
+++ b/internal/mysql/keyorder.go
@@ -2,38 +2,38 @@
 
 import "slices"
 
-// turnMarginMS is how long before its deadline a statement that still waits for its turn is
+// orderMarginMS is how long before its deadline a statement that still waits for its turn is
 // rejected, so that its client gets the answer in time.
-const turnMarginMS = 100.0
+const orderMarginMS = 100.0
 
 // keyOrder keeps statements with the same order key in the order in which they were read until
 // they are submitted to the event loop, which keeps that order afterwards. A load with an id
 // waits for its lease before it can be submitted; statements that were read after it wait
 // for it here.
 type keyOrder struct {
-	turns map[string][]*turn // by order key; the first one is next
+	tickets map[string][]*ticket // by order key; the first one is next
 }
 
-// turn is the place of a statement among those with its order key.
-type turn struct {
+// ticket is the place of a statement among those with its order key.
+type ticket struct {
 	key   string // empty: the statement waits for no other
 	begin func() // submits or answers the statement; nil until it may be submitted
 }
 
-func newKeyOrder() keyOrder { return keyOrder{turns: map[string][]*turn{}} }
+func newKeyOrder() keyOrder { return keyOrder{tickets: map[string][]*ticket{}} }
 
-// take gives a statement its place, behind all that have been read before.
-func (o *keyOrder) take(key string) *turn {
-	t := &turn{key: key}
+// issue gives a statement its place, behind all that have been read before.
+func (o *keyOrder) issue(key string) *ticket {
+	t := &ticket{key: key}
 	if key != "" {
-		o.turns[key] = append(o.turns[key], t)
+		o.tickets[key] = append(o.tickets[key], t)
 	}
 	return t
 }
 
 // await calls begin once all statements before this one have been submitted or answered, which
 // may be at once. It reports whether begin is still to be called.
-func (o *keyOrder) await(t *turn, begin func()) (waits bool) {
+func (o *keyOrder) await(t *ticket, begin func()) (waits bool) {
 	t.begin = begin
 	if t.key == "" {
 		begin()
@@ -43,8 +43,8 @@
 	return o.isWaiting(t)
 }
 
-// leave gives up the place of a statement. It has no effect on one that has begun.
-func (o *keyOrder) leave(t *turn) {
+// withdraw removes the ticket of a statement that is answered. It has no effect on one that has begun.
+func (o *keyOrder) withdraw(t *ticket) {
 	if !o.isWaiting(t) {
 		return
 	}
@@ -54,7 +54,7 @@
 
 // beginNow lets a statement begin out of turn, so that it can be answered. It has no effect on
 // one that has begun.
-func (o *keyOrder) beginNow(t *turn) {
+func (o *keyOrder) beginNow(t *ticket) {
 	if !o.isWaiting(t) {
 		return
 	}
@@ -65,8 +65,8 @@
 
 // beginAll lets all statements begin that wait only for others, so that they can be answered.
 func (o *keyOrder) beginAll() {
-	for _, turns := range o.turns {
-		for _, t := range slices.Clone(turns) {
+	for _, tickets := range o.tickets {
+		for _, t := range slices.Clone(tickets) {
 			if t.begin != nil {
 				o.beginNow(t)
 			}
@@ -74,12 +74,12 @@
 	}
 }
 
-func (o *keyOrder) isWaiting(t *turn) bool { return slices.Contains(o.turns[t.key], t) }
+func (o *keyOrder) isWaiting(t *ticket) bool { return slices.Contains(o.tickets[t.key], t) }
 
 // advance lets the first statements of a key begin, as far as they may.
 func (o *keyOrder) advance(key string) {
-	for len(o.turns[key]) > 0 {
-		first := o.turns[key][0]
+	for len(o.tickets[key]) > 0 {
+		first := o.tickets[key][0]
 		if first.begin == nil {
 			return
 		}
@@ -88,31 +88,31 @@
 	}
 }
 
-func (o *keyOrder) remove(t *turn) {
-	rest := slices.DeleteFunc(o.turns[t.key], func(other *turn) bool { return other == t })
+func (o *keyOrder) remove(t *ticket) {
+	rest := slices.DeleteFunc(o.tickets[t.key], func(other *ticket) bool { return other == t })
 	if len(rest) == 0 {
-		delete(o.turns, t.key)
+		delete(o.tickets, t.key)
 		return
 	}
-	o.turns[t.key] = rest
+	o.tickets[t.key] = rest
 }
 
-// takeTurn gives a statement its place in the order of its key, if its class keeps one.
-func (s *Server) takeTurn(options requestOptions) *turn {
+// issueTicket gives a statement its place in the order of its key, if its class keeps one.
+func (s *Server) issueTicket(options requestOptions) *ticket {
 	if !s.class(options).OrderedByKey {
-		return s.keyOrder.take("")
+		return s.keyOrder.issue("")
 	}
-	return s.keyOrder.take(options.orderKey)
+	return s.keyOrder.issue(options.orderKey)
 }
 
-// startInTurn submits a statement to the event loop when its turn has come. A statement whose
+// startInOrder submits a statement to the event loop when its turn has come. A statement whose
 // turn does not come in time, or that nobody waits for any more, is rejected: nothing ran.
-func (s *Server) startInTurn(t *turn, u submission, done func(outcome)) {
+func (s *Server) startInOrder(t *ticket, u submission, done func(outcome)) {
 	waitMS := u.options.deadlineMS
 	expiresAtMS := s.loop.Now() + waitMS
 	waits := s.keyOrder.await(t, func() {
 		remainingMS := expiresAtMS - s.loop.Now()
-		isLate := remainingMS < waitMS && remainingMS <= turnMarginMS
+		isLate := remainingMS < waitMS && remainingMS <= orderMarginMS
 		switch {
 		case !u.isAwaited():
 			done(outcome{err: s.rejection()})
@@ -125,6 +125,6 @@
 		}
 	})
 	if waits {
-		s.loop.After(waitMS-turnMarginMS, func() { s.keyOrder.beginNow(t) })
+		s.loop.After(waitMS-orderMarginMS, func() { s.keyOrder.beginNow(t) })
 	}
 }
--- a/internal/mysql/keyorder_test.go
+++ b/internal/mysql/keyorder_test.go
@@ -223,8 +223,8 @@
 			p.t.Errorf("%s was answered %d times", s.sql, len(s.answers))
 		}
 	}
-	if len(p.server.keyOrder.turns) > 0 {
-		p.t.Errorf("statements of %d keys still wait for their turn", len(p.server.keyOrder.turns))
+	if len(p.server.keyOrder.tickets) > 0 {
+		p.t.Errorf("statements of %d keys still wait for their turn", len(p.server.keyOrder.tickets))
 	}
 	if p.leases == nil {
 		return
@@ -286,7 +286,7 @@
 	if len(p.loop.submitted) != 1 || p.loop.submitted[0].Key != "other" {
 		t.Fatalf("submitted %d requests before the lease was granted, want that of the other key", len(p.loop.submitted))
 	}
-	p.loop.advance(500 - turnMarginMS + 1)
+	p.loop.advance(500 - orderMarginMS + 1)
 	if len(late.answers) != 1 || late.answers[0].err == nil || late.answers[0].err.Code != codeRejected {
 		t.Errorf("answers of the load whose deadline is near: %+v, want a rejection", late.answers)
 	}
--- a/internal/mysql/killrestart_test.go
+++ b/internal/mysql/killrestart_test.go
@@ -58,17 +58,7 @@
 	t.Helper()
 	d := deployMovingEngine(t, 16)
 	engine := d.from
-	engine.SetBehavior(func(_, sql string) string {
-		switch {
-		case strings.Contains(sql, "given_up"), strings.Contains(sql, "leaving"):
-			return "hang"
-		case strings.Contains(sql, "other"):
-			return fmt.Sprintf("wait %d", othersRunForMS)
-		case strings.Contains(sql, "idle"):
-			return "wait 100"
-		}
-		return ""
-	})
+	engine.SetBehavior(restartBehavior)
 	d.openIdleSessions(c.idle)
 	sentAt := time.Now()
 	client := d.sendGivenUp(c.prepared)
@@ -84,39 +74,66 @@
 		d.cfg.Engines[0].ID = "e9"
 		d.reloadWith(engine.Addr, "")
 	}
-	var others []*mysql.RawClient
-	for range c.strangers {
-		others = append(others, mysql.NewRawClient(t, engine.Addr, "gate", "inner"))
+	others := d.sendOthers(c.strangers)
+	time.Sleep(time.Until(sentAt.Add(givenUpAfter)))
+	if c.disconnect {
+		_ = client.Close()
+	}
+	served := d.readOthers(others)
+	if served == 0 && c.idle == 0 { // a silent idle session may be used until its loss is noticed
+		t.Error("no load of another client was served")
+	}
+	if _, kills := engine.Counts(); kills > 0 {
+		t.Errorf("the engine that came back received %d KILL QUERY, want 0", kills)
+	}
+	d.wantKilled()
+}
+
+func restartBehavior(_, sql string) string {
+	switch {
+	case strings.Contains(sql, "given_up"), strings.Contains(sql, "leaving"):
+		return "hang"
+	case strings.Contains(sql, "other"):
+		return fmt.Sprintf("wait %d", othersRunForMS)
+	case strings.Contains(sql, "idle"):
+		return "wait 100"
+	default:
+		return ""
+	}
+}
+
+// sendOthers sends loads of other clients: of strangers to the engine itself, and of clients of
+// the front end.
+func (d *movingEngine) sendOthers(strangers int) (others []*mysql.RawClient) {
+	d.t.Helper()
+	for range strangers {
+		others = append(others, mysql.NewRawClient(d.t, d.from.Addr, "gate", "inner"))
 	}
 	for range 6 {
-		others = append(others, mysql.NewRawClient(t, d.cfg.Listen, "app", "secret"))
+		others = append(others, mysql.NewRawClient(d.t, d.cfg.Listen, "app", "secret"))
 	}
 	for n, other := range others {
 		if err := other.Send(fmt.Sprintf("INSERT INTO trips_%d.other VALUES (1)", n)); err != nil {
-			t.Fatal(err)
+			d.t.Fatal(err)
 		}
 	}
-	time.Sleep(time.Until(sentAt.Add(givenUpAfter)))
-	if c.disconnect {
-		_ = client.Close()
-	}
-	served := 0
+	return others
+}
+
+// readOthers reads the answers to the loads of other clients, of which none may be
+// interrupted, and returns how many were served.
+func (d *movingEngine) readOthers(others []*mysql.RawClient) (served int) {
+	d.t.Helper()
 	for n, other := range others {
 		answer, err := other.ReadAnswer()
 		switch {
 		case err != nil || answer.Code == interruptedCode:
-			t.Errorf("load %d of another client: %+v, error %v; want it not to be interrupted", n, answer, err)
+			d.t.Errorf("load %d of another client: %+v, error %v; want it not to be interrupted", n, answer, err)
 		case answer.Code == 0:
 			served++
 		}
 	}
-	if served == 0 && c.idle == 0 { // a silent idle session may be used until its loss is noticed
-		t.Error("no load of another client was served")
-	}
-	if _, kills := engine.Counts(); kills > 0 {
-		t.Errorf("the engine that came back received %d KILL QUERY, want 0", kills)
-	}
-	d.wantKilled()
+	return served
 }
 
 // openIdleSessions makes the front end open sessions to the engine.
--- a/internal/mysql/loads.go
+++ b/internal/mysql/loads.go
@@ -101,19 +101,19 @@
 		return
 	}
 	load := s.addLoad(c, name, fingerprint)
-	turn := s.takeTurn(t) // before anything is waited for
+	ticket := s.issueTicket(t) // before anything is waited for
 	u := submission{client: c, load: load, statement: statement, info: info, options: t}
 	finish := func(o outcome) {
-		s.keyOrder.leave(turn)
+		s.keyOrder.withdraw(ticket)
 		s.finishLoad(name, load, o, done)
 	}
 	if s.Leases == nil {
-		s.startInTurn(turn, u, finish)
+		s.startInOrder(ticket, u, finish)
 		return
 	}
 	s.acquireLease(name, fingerprint, t, finish, func(remainingMS float64, done func(outcome)) {
 		u.options.deadlineMS = remainingMS
-		s.startInTurn(turn, u, done)
+		s.startInOrder(ticket, u, done)
 	})
 }
 
--- a/internal/mysql/submit.go
+++ b/internal/mysql/submit.go
@@ -41,7 +41,8 @@
 		done(outcome{err: s.rejection()})
 		return
 	}
-	s.startInTurn(s.takeTurn(options), submission{client: c, statement: statement, info: info, options: options}, done)
+	u := submission{client: c, statement: statement, info: info, options: options}
+	s.startInOrder(s.issueTicket(options), u, done)
 }
 
 // hasCapacity reports whether the server accepts another request.
@@ -49,7 +50,7 @@
 	return !s.shutdownDeadlinePassed && s.loop.OpenRequests() < s.config.Limits.MaxOpenRequests
 }
 
-// submission is a statement that is to be submitted to the event loop.
+// submission is a statement that waits to be submitted to the event loop.
 type submission struct {
 	client    *client
 	load      *loadRecord // nil unless the statement is a load with an id
