mysql: a database that does not exist is the client's error, not the engine's

Callers saw: a client that has selected a database that does not exist was told to try again (1226) each time a statement needed a new session, in place of MySQL's 1049. Each attempt counted as a failed connection of the engine.

Cause: the client's database was a part of the login of a new session, and an engine that refuses it refuses the login.

Change: sessions log in without a database and select it afterwards, as they do when a session is used again. A refusal is the answer to the statement.

Evidence: found by reading. TestUnknownDatabaseIsTheClientsError (the engine closes its connections before each statement): before, 1226 for every statement; now 1049, as text and prepared. Statements of another client were served before and after.

--- a/internal/mysql/auth.go
+++ b/internal/mysql/auth.go
@@ -131,8 +131,8 @@
 	return l, nil
 }
 
-// authenticate sends the greeting to a client and checks its user and password. The
-// error is an *Error if the login is rejected.
+// authenticate sends the greeting to a client and checks its user and password; acceptLogin
+// completes the login. The error is an *Error if the login is rejected.
 func (s *Server) authenticate(stream *stream, connectionID uint32) (*loginResponse, error) {
 	challenge := newChallenge()
 	stream.queuePacket(greetingPacket(connectionID, challenge))
@@ -161,8 +161,13 @@
 	if l.database == "" {
 		l.database = account.Database
 	}
+	return l, nil
+}
+
+// acceptLogin tells a client that it has logged in.
+func acceptLogin(stream *stream) error {
 	stream.queuePacket(okPacket(0, 0))
-	return l, stream.flush()
+	return stream.flush()
 }
 
 // switchToNative asks a client to authenticate by mysql_native_password and returns
--- a/internal/mysql/client.go
+++ b/internal/mysql/client.go
@@ -81,7 +81,7 @@
 		c.updateCounters(func(counters *ServerCounters) { counters.DeniedLogins++ })
 		c.sendFinalError(rejection)
 	}
-	if err != nil {
+	if err != nil || acceptLogin(c.stream) != nil {
 		return false
 	}
 	c.user = login.user
--- a/internal/mysql/database_test.go
+++ b/internal/mysql/database_test.go
@@ -87,3 +87,43 @@
 		}
 	}
 }
+
+// TestUnknownDatabaseIsTheClientsError guards against a client that is told to try again, for
+// ever, because the database that it has selected does not exist: the database was a part of the
+// login of a new session, so the engine counted as one that can't be reached.
+func TestUnknownDatabaseIsTheClientsError(t *testing.T) {
+	const (
+		statements      = 30
+		unknownDatabase = 1049
+	)
+	for _, prepared := range []bool{false, true} {
+		t.Run(fmt.Sprintf("prepared %v", prepared), func(t *testing.T) {
+			d := deploy(t, 1, func(c *mysql.Config) { c.Limits.ConnectionsPerEngine = 2 })
+			wrong := mysql.NewRawClient(t, d.cfg.Listen, "app", "secret")
+			other := mysql.NewRawClient(t, d.cfg.Listen, "app", "secret")
+			if err := wrong.SelectDatabase("missing"); err != nil {
+				t.Fatal(err)
+			}
+			for n := range statements {
+				d.engines[0].CloseAll() // each statement gets a new session
+				send := wrong.Send
+				if prepared {
+					send = wrong.SendPrepared
+				}
+				if err := send("SELECT 1 FROM t"); err != nil {
+					t.Fatal(err)
+				}
+				answer, err := wrong.ReadAnswer()
+				if err != nil || answer.Code != unknownDatabase {
+					t.Errorf("statement %d in a database that does not exist: %+v, error %v; want 1049", n, answer, err)
+				}
+				if err := other.Send("SELECT 1 FROM trips_1.t"); err != nil {
+					t.Fatal(err)
+				}
+				if answer, err := other.ReadAnswer(); err != nil || answer.Code != 0 {
+					t.Errorf("statement %d of the other client: %+v, error %v; want its rows", n, answer, err)
+				}
+			}
+		})
+	}
+}
--- a/internal/mysql/fakes_test.go
+++ b/internal/mysql/fakes_test.go
@@ -225,6 +225,14 @@
 		}
 		return
 	}
+	if isMissing(login.database) {
+		connection.stream.queuePacket(unknownDatabase.packet())
+		_ = connection.stream.flush()
+		return
+	}
+	if acceptLogin(connection.stream) != nil {
+		return
+	}
 	connection.database = login.database
 	for {
 		connection.stream.sequence = 0
@@ -299,13 +307,18 @@
 	return true
 }
 
-// initDatabase selects a connection's database. Databases with the prefix "missing" do not exist.
+var unknownDatabase = &Error{1049, "42000", "Unknown database"}
+
+// isMissing reports whether a database does not exist.
+func isMissing(database string) bool { return strings.HasPrefix(database, "missing") }
+
+// initDatabase selects a connection's database.
 func (e *FakeEngine) initDatabase(connection *fakeConnection, name string) {
 	e.mu.Lock()
 	e.initDatabases = append(e.initDatabases, name)
 	e.mu.Unlock()
-	if strings.HasPrefix(name, "missing") {
-		connection.stream.queuePacket((&Error{1049, "42000", "Unknown database"}).packet())
+	if isMissing(name) {
+		connection.stream.queuePacket(unknownDatabase.packet())
 		return
 	}
 	connection.database = name
--- a/internal/mysql/killconnection.go
+++ b/internal/mysql/killconnection.go
@@ -197,7 +197,7 @@
 		case <-time.After(killConfirmWait):
 		}
 	}
-	stream, _, err := p.connect(endpoint, "")
+	stream, _, err := p.connect(endpoint)
 	if err != nil {
 		return nil, err
 	}
@@ -265,15 +265,16 @@
 	}
 }
 
-// connect opens a connection to an engine and logs in.
-func (p *Pool) connect(endpoint Engine, database string) (*stream, uint32, error) {
+// connect opens a connection to an engine and logs in. It selects no database: an engine refuses
+// the login of a client's database that does not exist, as if the engine were not available.
+func (p *Pool) connect(endpoint Engine) (*stream, uint32, error) {
 	conn, err := net.DialTimeout("tcp", endpoint.Address, p.connectTimeout)
 	if err != nil {
 		return nil, 0, err
 	}
 	_ = conn.SetDeadline(time.Now().Add(p.connectTimeout + logInTimeout))
 	stream := newStream(conn)
-	threadID, err := logIn(stream, endpoint.User, endpoint.Password, database)
+	threadID, err := logIn(stream, endpoint.User, endpoint.Password, "")
 	if err != nil {
 		_ = conn.Close()
 		return nil, 0, err
--- a/internal/mysql/session.go
+++ b/internal/mysql/session.go
@@ -132,7 +132,7 @@
 
 func (p *Pool) runAttempt(s *session, a *attempt) (*Result, error) {
 	if s.stream == nil {
-		if err := p.openSession(s, a.statement.Database); err != nil {
+		if err := p.openSession(s); err != nil {
 			return nil, notWrittenError{err}
 		}
 	}
@@ -145,9 +145,9 @@
 }
 
 // openSession connects to the engine and logs in.
-func (p *Pool) openSession(s *session, database string) error {
+func (p *Pool) openSession(s *session) error {
 	s.counters.Dials++
-	stream, threadID, err := p.connectSession(s, database)
+	stream, threadID, err := p.connectSession(s)
 	if err != nil {
 		if isDialError(err) {
 			s.counters.DialFailures++
@@ -156,7 +156,6 @@
 	}
 	stream.maxPacketBytes = maxEnginePacketBytes
 	s.threadID = threadID
-	s.database = database
 	done := make(chan struct{})
 	p.loop.Post(func() {
 		s.stream = stream
@@ -166,11 +165,11 @@
 	return nil
 }
 
-func (p *Pool) connectSession(s *session, database string) (*stream, uint32, error) {
+func (p *Pool) connectSession(s *session) (*stream, uint32, error) {
 	if err := p.awaitKillConnection(s); err != nil {
 		return nil, 0, err
 	}
-	return p.connect(s.endpoint, database)
+	return p.connect(s.endpoint)
 }
 
 // isDialError reports whether a connection was not established.
