mysql: a kill connection that is lost late removes no engine that is listed again

Callers would have seen: an engine that is removed and listed again within milliseconds is unknown to the pool, so that no statement reaches it until the next SIGHUP.

Change: the loss removes no engine, as a removed engine has no idle sessions that could be the last. A kill connection that was lost as it was opened is given to no later session. A ticket of a key's order, which a timer may keep until the deadline, no longer refers to the statement.

--- a/internal/mysql/keyorder.go
+++ b/internal/mysql/keyorder.go
@@ -58,8 +58,7 @@
 	if !o.isWaiting(t) {
 		return
 	}
-	o.remove(t)
-	t.begin()
+	o.start(t)
 	o.advance(t.key)
 }
 
@@ -83,11 +82,19 @@
 		if first.begin == nil {
 			return
 		}
-		o.remove(first)
-		first.begin()
+		o.start(first)
 	}
 }
 
+// start removes the ticket of a statement that begins. The ticket may be kept by a timer, so it
+// no longer refers to the statement.
+func (o *keyOrder) start(t *ticket) {
+	begin := t.begin
+	o.remove(t)
+	t.begin = nil
+	begin()
+}
+
 func (o *keyOrder) remove(t *ticket) {
 	rest := slices.DeleteFunc(o.tickets[t.key], func(other *ticket) bool { return other == t })
 	if len(rest) == 0 {
--- a/internal/mysql/killconnection.go
+++ b/internal/mysql/killconnection.go
@@ -168,7 +168,7 @@
 	opening := &killConnectionOpening{endpoint: s.endpoint, sessions: []*session{s}}
 	e.opening = opening
 	current := e.killConnection
-	if current != nil && !current.endpoint.sameServer(&s.endpoint) {
+	if current != nil && (current.retired || !current.endpoint.sameServer(&s.endpoint)) {
 		current = nil
 	}
 	if current != nil {
@@ -215,7 +215,7 @@
 	if e.opening == opening {
 		e.opening = nil
 	}
-	if err == nil && k != e.killConnection && k.endpoint.sameServer(&e.Engine) {
+	if err == nil && k != e.killConnection && !k.retired && k.endpoint.sameServer(&e.Engine) {
 		p.retire(e.killConnection)
 		e.killConnection = k
 	}
@@ -239,7 +239,6 @@
 		k.engine.killConnection = nil
 	}
 	p.closeIdle(k.engine, func(s *session) bool { return s.killConnection == k })
-	p.removeIfUnused(k.engine)
 }
 
 // release records that a session or a command no longer uses a kill connection.
